--- /dev/null
+++ b/src/controllers/attemptends.ts
@@ -0,0 +1,68 @@
+/** Decides what the end of an attempt means for its task. Pure: a value in, the steps and what to do next out. */
+import type {AttemptEnd} from "../jobs/attempt.js"
+import type {Job, JobStep, TaskResult} from "../jobs/job.js"
+
+/** `requeue`: another attempt may start now. */
+export type NextMove = "done" | "requeue"
+
+export interface EndDecision {
+  readonly steps: readonly JobStep[]
+  readonly next: NextMove
+}
+
+/** Failures of one task, each on another worker where possible, after which it is given up. */
+export const LARGEST_FAILURES = 3
+
+function ended(end: AttemptEnd, result: TaskResult, detail: string, at: number): EndDecision {
+  const {job, task} = end
+  return {steps: [{type: "task-ended", job, task, result, detail, at}], next: "done"}
+}
+
+function afterFailure(job: Job, end: AttemptEnd, at: number): EndDecision {
+  const {task, worker} = end
+  const known = job.tasks[task]
+  const {restartable, kind} = job.specification
+  const failures = (known?.failures ?? 0) + 1
+  const failed: JobStep = {type: "task-failed", job: end.job, task, worker}
+  const again = restartable && (kind === "service" || failures < LARGEST_FAILURES)
+  if (again) return {steps: [failed], next: "requeue"}
+  const workers = [...new Set([...(known?.failedOn ?? []), worker])].join(", ")
+  return ended(end, "failed", `it failed on ${workers}: ${end.detail}`, at)
+}
+
+/** Work whose attempt ended without a result: it may start again only if it is restartable. */
+function afterInterruption(job: Job, end: AttemptEnd, at: number): EndDecision {
+  if (job.specification.restartable) return {steps: [], next: "requeue"}
+  return ended(end, "unknown", `it may have run on ${end.worker}: ${end.detail}`, at)
+}
+
+/** Decides on one end. `ranBefore` says whether some attempt of the task may have run. */
+export function decideEnd(job: Job, end: AttemptEnd, ranBefore: boolean, at: number): EndDecision {
+  const {cancelled, specification} = job
+  switch (end.outcome) {
+    case "succeeded":
+      if (specification.kind === "service" && !cancelled) return {steps: [], next: "requeue"}
+      return ended(end, "ran", "", at)
+    case "failed":
+      return cancelled ? ended(end, "failed", end.detail, at) : afterFailure(job, end, at)
+    case "checkpointed": {
+      if (cancelled) return ended(end, "stopped", "it was cancelled while it ran", at)
+      const {job: name, task, checkpoint} = end
+      return {steps: [{type: "task-checkpointed", job: name, task, checkpoint}], next: "requeue"}
+    }
+    case "stopped":
+      if (cancelled) return ended(end, "stopped", "it was cancelled while it ran", at)
+      return afterInterruption(job, end, at)
+    case "lost":
+      if (cancelled) return ended(end, "unknown", `it was cancelled and ${end.detail}`, at)
+      return afterInterruption(job, end, at)
+    case "never-started": {
+      const {job: name, task} = end
+      const marked = job.tasks[task]?.openAttempt === true
+      const steps: readonly JobStep[] = marked ? [{type: "attempt-void", job: name, task}] : []
+      if (!cancelled) return {steps, next: "requeue"}
+      const decision = ended(end, ranBefore ? "stopped" : "not-run", "it was cancelled before it started", at)
+      return {steps: [...steps, ...decision.steps], next: "done"}
+    }
+  }
+}
--- /dev/null
+++ b/src/controllers/dispatcher.ts
@@ -0,0 +1,474 @@
+/**
+ * Places the waiting tasks of one job group. It takes them in the queue's order, chooses worker groups from their
+ * owners' descriptions, asks the owners, and settles attempts whose fate is in doubt. It decides nothing durable:
+ * ends go to the home, which writes them down.
+ */
+import type {Clock, Milliseconds} from "../core/clock.js"
+import type {Random} from "../core/random.js"
+import {add, dominantShare, fits, NOTHING, shapeKey} from "../core/resources.js"
+import type {Resources} from "../core/resources.js"
+import type {EnvironmentDocument} from "../document/model.js"
+import type {Attempt} from "../jobs/attempt.js"
+import type {FreeCapacity} from "../membership/table.js"
+import type {GroupChoice, GroupDescription} from "../placement/groupchoice.js"
+import {taskQueue} from "../placement/taskqueue.js"
+import type {Lane, QueuedItem, TaskQueue} from "../placement/taskqueue.js"
+import {attemptTracker} from "./attempttracker.js"
+import type {AttemptTracker, TrackedAttempt} from "./attempttracker.js"
+import type {Logger} from "./logger.js"
+import type {GroupOwnerAddress, PlacedAttempt, PlacementClient} from "./placementclient.js"
+
+/** A worker group with its owner, as last heard. */
+export interface ReachableGroup extends GroupDescription {
+  readonly owner: GroupOwnerAddress
+}
+
+export interface DispatcherPorts {
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: Logger
+  readonly client: PlacementClient
+  readonly choice: GroupChoice
+  readonly jobGroup: string
+  readonly document: () => EnvironmentDocument | undefined
+  readonly groups: () => readonly ReachableGroup[]
+  readonly mayAct: () => boolean
+  /** Builds the next attempt of a waiting task. */
+  readonly nextAttempt: (item: WaitingTask) => Attempt
+  /** Makes it durable that these tasks may start. Gives false when that cannot be done now. */
+  readonly recordMayStart: (items: readonly WaitingTask[]) => Promise<boolean>
+  /** The attempt has surely not started and never will. */
+  readonly onNeverStarted: (attempt: Attempt) => void
+  /** Nothing tells whether the attempt ran; it surely does not run now. */
+  readonly onFateLost: (attempt: Attempt) => void
+}
+
+export interface WaitingTask extends QueuedItem {
+  readonly job: string
+  readonly task: number
+  readonly restartable: boolean
+}
+
+export interface Dispatcher {
+  readonly enqueue: (item: WaitingTask) => void
+  readonly withdraw: (job: string, task: number) => boolean
+  readonly tracker: () => AttemptTracker
+  readonly queue: () => TaskQueue<WaitingTask>
+  /** Runs a pass soon. */
+  readonly wake: () => void
+  /** Asks owners to stop attempts, or to checkpoint them. */
+  readonly stop: (entries: readonly TrackedAttempt[], checkpoint: boolean) => void
+  /** Marks attempts whose owner has changed as in doubt until the new owner has told of them. */
+  readonly settle: () => Promise<void>
+  /** Why tasks of this kind wait, in words; undefined when nothing was in their way. */
+  readonly blockerOf: (item: WaitingTask) => string | undefined
+  readonly close: () => void
+}
+
+const PASS_INTERVAL_MS: Milliseconds = 100
+const WAIT_AT_OWNER_MS: Milliseconds = 700
+const ASKS_AT_ONCE = 256
+const ASKS_WAITING_PER_GROUP = 3
+const BATCH = 32
+const SETTLE_INTERVAL_MS: Milliseconds = 500
+const DOUBT_AFTER_MS: Milliseconds = 6000
+
+export function taskName(job: string, task: number): string {
+  return `${job}.${task}`
+}
+
+function laneName(item: QueuedItem): string {
+  return `${item.team}|${item.priority}|${item.pool}|${shapeKey(item.demand)}`
+}
+
+/** Deducts an expected placement from a description, so that one pass does not send everything to one group. */
+function deduct(free: FreeCapacity, demand: Resources): FreeCapacity {
+  const processors = Math.max(0, free.processors - demand.processors)
+  const memoryMebibytes = Math.max(0, free.memoryMebibytes - demand.memoryMebibytes)
+  const accelerators = Math.max(0, free.accelerators - demand.accelerators)
+  return {
+    ...free,
+    processors,
+    memoryMebibytes,
+    accelerators,
+    largestProcessors: Math.min(free.largestProcessors, processors),
+    largestMemoryMebibytes: Math.min(free.largestMemoryMebibytes, memoryMebibytes),
+    largestAccelerators: Math.min(free.largestAccelerators, accelerators),
+  }
+}
+
+function hasRoom(free: FreeCapacity, demand: Resources): boolean {
+  const most = {
+    processors: free.largestProcessors,
+    memoryMebibytes: free.largestMemoryMebibytes,
+    accelerators: free.largestAccelerators,
+  }
+  return fits(demand, most)
+}
+
+/** One group with the attempts that a pass sends there. */
+interface Batch {
+  readonly group: ReachableGroup
+  readonly wait: Milliseconds
+  readonly items: WaitingTask[]
+}
+
+/** Creates the dispatcher of one home. */
+export function dispatcher(ports: DispatcherPorts): Dispatcher {
+  const {clock, log, client} = ports
+  const queue = taskQueue<WaitingTask>()
+  const tracker = attemptTracker()
+  const blockers = new Map<string, string>()
+  const waitingAt = new Map<string, number>()
+  /** Descriptions newer than those heard by gossip, from the owners' replies. */
+  const fresh = new Map<string, {readonly free: FreeCapacity; readonly heard: FreeCapacity}>()
+  let closed = false
+  let passing = false
+  let passWanted = false
+  let lastPassAt: Milliseconds = Number.NEGATIVE_INFINITY
+  let settling = false
+
+  function describeGroups(): Map<string, ReachableGroup> {
+    const groups = new Map<string, ReachableGroup>()
+    for (const group of ports.groups()) {
+      const newer = fresh.get(group.group)
+      if (newer && newer.heard !== group.free) fresh.delete(group.group)
+      groups.set(group.group, newer?.heard === group.free ? {...group, free: newer.free} : group)
+    }
+    return groups
+  }
+
+  function fleetOf(groups: ReadonlyMap<string, ReachableGroup>): Resources {
+    let total = NOTHING
+    for (const {free} of groups.values()) {
+      total = add(total, {
+        processors: free.totalProcessors,
+        memoryMebibytes: free.totalMemoryMebibytes,
+        accelerators: free.totalAccelerators,
+      })
+    }
+    return total
+  }
+
+  function shareOf(team: string, fleet: Resources): number {
+    const weight = ports.document()?.teams.get(team)?.weight ?? 1
+    return dominantShare(tracker.usageOf(team), fleet) / weight
+  }
+
+  function quotaBlocker(item: WaitingTask, planned: ReadonlyMap<string, Resources>): string | undefined {
+    const team = ports.document()?.teams.get(item.team)
+    if (!team) return `the team ${item.team} is no longer in the document`
+    const used = add(tracker.usageOf(item.team), planned.get(item.team) ?? NOTHING)
+    if (fits(add(used, item.demand), team.quota)) return undefined
+    return `the quota of team ${item.team} is used up`
+  }
+
+  /** Plans one pass: which waiting tasks go to which groups. */
+  function plan(): readonly Batch[] {
+    const groups = describeGroups()
+    const fleet = fleetOf(groups)
+    const planned = new Map<string, Resources>()
+    const batches = new Map<string, Batch>()
+    const waits = new Map(waitingAt)
+    const packingWeight = ports.document()?.packingWeight ?? 0.5
+    let asks = [...tracker.all()].reduce((count, entry) => count + (entry.phase === "asking" ? 1 : 0), 0)
+    blockers.clear()
+
+    function planItem(lane: Lane<WaitingTask>, item: WaitingTask): string | undefined {
+      const quota = quotaBlocker(item, planned)
+      if (quota !== undefined) return quota
+      const usable = [...groups.values()].filter(group => group.pool === item.pool)
+      if (usable.length === 0) return `no owner of a worker group of pool ${item.pool} is known`
+      const roomy = usable.filter(group => hasRoom(group.free, item.demand))
+      const open =
+        roomy.length > 0
+          ? roomy
+          : usable.filter(group => (waits.get(group.group) ?? 0) < ASKS_WAITING_PER_GROUP)
+      const chosen = ports.choice.choose(open, item.demand, packingWeight, ports.random)
+      const group = chosen && groups.get(chosen.group)
+      if (!group) return `no group of pool ${item.pool} has room, and enough tasks wait there`
+      const wait = roomy.length > 0 ? 0 : WAIT_AT_OWNER_MS
+      const key = wait > 0 ? taskName(item.job, item.task) : group.group
+      const batch = batches.get(key) ?? {group, wait, items: []}
+      batch.items.push(item)
+      batches.set(key, batch)
+      if (wait > 0) waits.set(group.group, (waits.get(group.group) ?? 0) + 1)
+      else groups.set(group.group, {...group, free: deduct(group.free, item.demand)})
+      planned.set(lane.team, add(planned.get(lane.team) ?? NOTHING, item.demand))
+      return undefined
+    }
+
+    for (const lane of queue.lanes(clock.now(), team => shareOf(team, fleet))) {
+      for (const item of lane.items.values()) {
+        if (asks >= ASKS_AT_ONCE) return [...batches.values()]
+        const blocker = planItem(lane, item)
+        if (blocker !== undefined) {
+          blockers.set(laneName(item), blocker)
+          break
+        }
+        asks += 1
+      }
+    }
+    return [...batches.values()]
+  }
+
+  function rankOf(items: readonly WaitingTask[]): number {
+    const first = items[0]
+    if (!first) return 0
+    const fleet = fleetOf(describeGroups())
+    return shareOf(first.team, fleet)
+  }
+
+  function begin(batch: Batch, items: readonly WaitingTask[]): readonly Attempt[] {
+    const since = clock.now()
+    const {group, owner} = batch.group
+    return items.map(item => {
+      queue.remove(item.key)
+      const attempt = ports.nextAttempt(item)
+      tracker.track({
+        attempt,
+        group,
+        ownerEpoch: owner.epoch,
+        phase: "asking",
+        worker: "",
+        since,
+        stopWanted: false,
+      })
+      return attempt
+    })
+  }
+
+  function noteAnswer(batch: Batch, answer: PlacedAttempt): void {
+    const entry = tracker.get(answer.attempt)
+    if (!entry) return
+    const {attempt} = entry
+    const {group} = batch.group
+    log.info(
+      {
+        event: "placement-answer",
+        jobGroup: ports.jobGroup,
+        job: attempt.job,
+        task: attempt.task,
+        attempt: answer.attempt,
+        group,
+        result: answer.result,
+        worker: answer.worker,
+        reason: answer.reason,
+        waited: Math.round(clock.now() - entry.since),
+      },
+      "an owner answered",
+    )
+    if (answer.result === "started") {
+      tracker.update(answer.attempt, {phase: "running", worker: answer.worker, since: clock.now()})
+      return
+    }
+    if (answer.result !== "refused") {
+      tracker.update(answer.attempt, {phase: "in-doubt", worker: answer.worker})
+      return
+    }
+    blockers.set(laneName(attemptItem(attempt, entry.since)), answer.reason)
+    tracker.forget(answer.attempt)
+    ports.onNeverStarted(attempt)
+  }
+
+  function attemptItem(attempt: Attempt, enqueuedAt: Milliseconds): WaitingTask {
+    const {job, task, team, priority, pool, demand, restartable} = attempt
+    return {key: taskName(job, task), job, task, team, priority, pool, demand, restartable, enqueuedAt}
+  }
+
+  function refuseAll(attempts: readonly Attempt[], batch: Batch, reason: string): void {
+    for (const {attempt} of attempts) noteAnswer(batch, {attempt, result: "refused", worker: "", reason})
+  }
+
+  async function ask(batch: Batch, attempts: readonly Attempt[]): Promise<void> {
+    const {group, owner} = batch.group
+    const rank = rankOf(batch.items)
+    if (batch.wait > 0) waitingAt.set(group, (waitingAt.get(group) ?? 0) + 1)
+    const call = {group, owner, mode: "start" as const, attempts, wait: batch.wait, rank, reservation: ""}
+    const reply = await client.place(call)
+    if (batch.wait > 0) waitingAt.set(group, (waitingAt.get(group) ?? 1) - 1)
+    if (closed) return
+    if (reply.isErr()) {
+      if (reply.error.certainty === "not-run") refuseAll(attempts, batch, reply.error.message)
+      else for (const {attempt} of attempts) tracker.update(attempt, {phase: "in-doubt"})
+      return
+    }
+    if (reply.value.refusal !== "") {
+      refuseAll(attempts, batch, reply.value.refusal)
+      return
+    }
+    const heard = ports.groups().find(known => known.group === group)?.free
+    if (reply.value.free && heard) fresh.set(group, {free: reply.value.free, heard})
+    for (const answer of reply.value.placements) noteAnswer(batch, answer)
+    wake()
+  }
+
+  async function send(batch: Batch): Promise<void> {
+    for (let from = 0; from < batch.items.length; from += BATCH) {
+      const items = batch.items.slice(from, from + BATCH).filter(item => queue.get(item.key))
+      const once = items.filter(item => !item.restartable)
+      const attempts = begin(batch, items)
+      if (once.length > 0 && !(await ports.recordMayStart(once))) {
+        refuseAll(attempts, batch, "it cannot be recorded now that at-most-once work may start")
+        continue
+      }
+      if (attempts.length > 0) void ask(batch, attempts)
+    }
+  }
+
+  function pass(): void {
+    passWanted = false
+    lastPassAt = clock.now()
+    if (closed || !ports.mayAct() || !ports.document()) return
+    for (const batch of plan()) void send(batch)
+  }
+
+  const SHORTEST_PASS_GAP_MS: Milliseconds = 5
+
+  /** Runs a pass soon; passes that are wanted close together are run as one. */
+  function wake(): void {
+    if (passWanted || closed) return
+    passWanted = true
+    const gap = Math.max(0, lastPassAt + SHORTEST_PASS_GAP_MS - clock.now())
+    clock.after(gap, () => {
+      if (passing) return
+      passing = true
+      pass()
+      passing = false
+    })
+  }
+
+  function tick(): void {
+    if (closed) return
+    if (queue.size() > 0) wake()
+    clock.after(PASS_INTERVAL_MS, tick)
+  }
+
+  function groupBy(entries: readonly TrackedAttempt[]): ReadonlyMap<string, readonly TrackedAttempt[]> {
+    const grouped = new Map<string, TrackedAttempt[]>()
+    for (const entry of entries) {
+      const list = grouped.get(entry.group) ?? []
+      list.push(entry)
+      grouped.set(entry.group, list)
+    }
+    return grouped
+  }
+
+  async function sendStop(
+    group: ReachableGroup,
+    entries: readonly TrackedAttempt[],
+    checkpoint: boolean,
+  ): Promise<void> {
+    const names = entries.map(entry => entry.attempt.attempt)
+    const reply = await client.abandon(group.group, group.owner, names, checkpoint)
+    if (reply.isErr() || reply.value.refusal !== "" || closed) return
+    for (const [name, fate] of reply.value.fates) noteFate(name, fate, group.owner.epoch)
+  }
+
+  /** What an owner says of an attempt that it was asked to give up. */
+  function noteFate(name: string, fate: string, ownerEpoch: number): void {
+    const entry = tracker.get(name)
+    if (!entry) return
+    if (fate === "stopping") {
+      tracker.update(name, {phase: "stopping"})
+      return
+    }
+    if (fate === "ended") return
+    const sameOwner = entry.ownerEpoch === ownerEpoch
+    if (fate === "never-started" || sameOwner) {
+      tracker.forget(name)
+      ports.onNeverStarted(entry.attempt)
+    }
+  }
+
+  function stop(entries: readonly TrackedAttempt[], checkpoint: boolean): void {
+    for (const entry of entries) tracker.update(entry.attempt.attempt, {stopWanted: true})
+    const groups = describeGroups()
+    for (const [name, listed] of groupBy(entries)) {
+      const group = groups.get(name)
+      if (group) void sendStop(group, listed, checkpoint)
+    }
+  }
+
+  function isDoubtful(entry: TrackedAttempt, group: ReachableGroup): boolean {
+    if (entry.phase === "in-doubt" || entry.ownerEpoch !== group.owner.epoch) return true
+    const overdue = clock.now() > entry.since + DOUBT_AFTER_MS
+    return overdue && (entry.phase === "asking" || entry.phase === "stopping")
+  }
+
+  async function settleGroup(group: ReachableGroup, doubtful: readonly TrackedAttempt[]): Promise<void> {
+    const reply = await client.inventory(group.group, group.owner)
+    if (reply.isErr() || reply.value.refusal !== "" || closed) return
+    const running = new Map(reply.value.running.map(entry => [entry.attempt.attempt, entry.worker]))
+    const ended = new Set(reply.value.ended.map(end => end.attempt))
+    const missing: TrackedAttempt[] = []
+    for (const entry of doubtful) {
+      const name = entry.attempt.attempt
+      if (tracker.get(name) !== entry || ended.has(name)) continue
+      const worker = running.get(name)
+      if (worker !== undefined) {
+        tracker.update(name, {phase: "running", worker, ownerEpoch: group.owner.epoch, since: clock.now()})
+        if (entry.stopWanted) stop([entry], false)
+      } else if (reply.value.complete) missing.push(entry)
+    }
+    if (missing.length > 0) await giveUp(group, missing)
+  }
+
+  /** Bars attempts that the owner does not know, so that a late order cannot start them, and settles their fate. */
+  async function giveUp(group: ReachableGroup, missing: readonly TrackedAttempt[]): Promise<void> {
+    const names = missing.map(entry => entry.attempt.attempt)
+    const reply = await client.abandon(group.group, group.owner, names, false)
+    if (reply.isErr() || reply.value.refusal !== "" || closed) return
+    for (const entry of missing) {
+      const name = entry.attempt.attempt
+      const fate = reply.value.fates.get(name)
+      if (!tracker.get(name) || fate === undefined) continue
+      const otherOwner = entry.ownerEpoch !== group.owner.epoch
+      if (fate === "unknown" && otherOwner) {
+        tracker.forget(name)
+        ports.onFateLost(entry.attempt)
+      } else noteFate(name, fate, group.owner.epoch)
+    }
+  }
+
+  async function settle(): Promise<void> {
+    if (settling || closed || !ports.mayAct()) return
+    settling = true
+    const groups = describeGroups()
+    const work: Promise<void>[] = []
+    for (const [name, entries] of groupBy([...tracker.all()])) {
+      const group = groups.get(name)
+      if (!group) continue
+      const doubtful = entries.filter(entry => isDoubtful(entry, group))
+      if (doubtful.length > 0) work.push(settleGroup(group, doubtful))
+    }
+    await Promise.all(work)
+    settling = false
+  }
+
+  function settleLoop(): void {
+    if (closed) return
+    void settle()
+    clock.after(SETTLE_INTERVAL_MS, settleLoop)
+  }
+
+  tick()
+  settleLoop()
+
+  return {
+    enqueue(item) {
+      queue.add(item)
+      wake()
+    },
+    withdraw: (job, task) => queue.remove(taskName(job, task)) !== undefined,
+    tracker: () => tracker,
+    queue: () => queue,
+    wake,
+    stop,
+    settle,
+    blockerOf: item => blockers.get(laneName(item)),
+    close() {
+      closed = true
+    },
+  }
+}
--- /dev/null
+++ b/src/controllers/instancelist.ts
@@ -0,0 +1,98 @@
+/** Keeps the newest reading of the platform's lagging instance list, and what follows from it. */
+import type {Clock, Milliseconds} from "../core/clock.js"
+import {largest, NOTHING} from "../core/resources.js"
+import type {InstanceList, ListedInstance} from "../platform/ports.js"
+import type {PoolShape} from "./jobhome.js"
+
+export interface InstanceListController {
+  readonly start: () => Promise<void>
+  readonly stop: () => void
+  readonly entries: () => readonly ListedInstance[]
+  /** Peer addresses of the other entry instances. */
+  readonly peerAddresses: () => readonly string[]
+  /** Worker groups that exist, by name. */
+  readonly workerGroups: () => ReadonlyMap<string, readonly ListedInstance[]>
+  readonly poolShape: (pool: string) => PoolShape | undefined
+}
+
+const READ_INTERVAL_MS: Milliseconds = 1000
+
+/** Workers of one pool in one rack have one owner. */
+export function workerGroupOf(worker: ListedInstance): string {
+  return `w/${worker.pool}.${worker.rack}`
+}
+
+/** The pool of a worker group, from its name. */
+export function poolOfGroup(group: string): string {
+  return group.slice(2, group.indexOf("."))
+}
+
+function groupWorkers(entries: readonly ListedInstance[]): ReadonlyMap<string, readonly ListedInstance[]> {
+  const groups = new Map<string, ListedInstance[]>()
+  for (const entry of entries) {
+    if (entry.kind !== "worker") continue
+    const members = groups.get(workerGroupOf(entry)) ?? []
+    members.push(entry)
+    groups.set(workerGroupOf(entry), members)
+  }
+  return groups
+}
+
+function shapePools(entries: readonly ListedInstance[]): ReadonlyMap<string, PoolShape> {
+  const shapes = new Map<string, PoolShape>()
+  for (const entry of entries) {
+    if (entry.kind !== "worker" || entry.status === "leaving") continue
+    const known = shapes.get(entry.pool) ?? {largestWorker: NOTHING, workers: []}
+    const workers = [...known.workers, entry.capacity]
+    shapes.set(entry.pool, {largestWorker: largest(known.largestWorker, entry.capacity), workers})
+  }
+  return shapes
+}
+
+/** Creates the controller of the instance with the given name. */
+export function instanceListController(
+  self: string,
+  list: InstanceList,
+  clock: Clock,
+  onChange: () => void,
+): InstanceListController {
+  let entries: readonly ListedInstance[] = []
+  let groups: ReadonlyMap<string, readonly ListedInstance[]> = new Map()
+  let shapes: ReadonlyMap<string, PoolShape> = new Map()
+  let text = ""
+  let stopped = false
+
+  async function read(): Promise<void> {
+    const result = await list.read()
+    if (result.isErr()) return
+    const fresh = JSON.stringify(result.value)
+    if (fresh === text) return
+    text = fresh
+    entries = result.value
+    groups = groupWorkers(entries)
+    shapes = shapePools(entries)
+    onChange()
+  }
+
+  async function loop(): Promise<void> {
+    while (!stopped) {
+      await new Promise<void>(resolve => clock.after(READ_INTERVAL_MS, resolve))
+      if (!stopped) await read()
+    }
+  }
+
+  return {
+    async start() {
+      await read()
+      void loop()
+    },
+    stop() {
+      stopped = true
+    },
+    entries: () => entries,
+    peerAddresses: () =>
+      entries.filter(entry => entry.kind === "entry" && entry.name !== self).map(entry => entry.address),
+    workerGroups: () => groups,
+    poolShape: pool => shapes.get(pool),
+  }
+}
--- /dev/null
+++ b/src/controllers/jobanswers.ts
@@ -0,0 +1,72 @@
+/** What callers are told of jobs: JSON bodies and problem details (RFC 9457). */
+import type {Job, Task} from "../jobs/job.js"
+import {resultOf} from "../jobs/job.js"
+import type {RequestFinding} from "../jobs/request.js"
+
+export interface JobAnswer {
+  readonly status: number
+  readonly body: object
+}
+
+export interface TaskAnswer {
+  readonly index: number
+  readonly state: string
+  readonly detail: string
+  readonly worker: string
+}
+
+const PROBLEM_BASE = "urn:lacewingstream:problem:"
+
+/** A problem document. `execution` says what is known of the work. */
+export function problem(
+  status: number,
+  type: string,
+  title: string,
+  detail: string,
+  execution: "not-run" | "unknown",
+  extra: object = {},
+): JobAnswer {
+  return {status, body: {type: PROBLEM_BASE + type, title, status, detail, execution, ...extra}}
+}
+
+export function invalidJob(findings: readonly RequestFinding[]): JobAnswer {
+  const detail = `The request has ${findings.length} findings.`
+  return problem(422, "invalid-job", "The job cannot be accepted", detail, "not-run", {findings})
+}
+
+export function noSuchJob(job: string): JobAnswer {
+  return problem(404, "no-such-job", "There is no such job", `No job named ${job} is known.`, "unknown")
+}
+
+/** The state of one task for people and machines: its result, or where it is now. */
+export function taskState(task: Task, phase: string | undefined): string {
+  if (task.result !== undefined) return task.result
+  if (phase === "running") return "running"
+  if (phase === "stopping") return "stopping"
+  return phase === undefined ? "waiting" : "starting"
+}
+
+function countStates(tasks: readonly TaskAnswer[]): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {}
+  for (const {state} of tasks) counts[state] = (counts[state] ?? 0) + 1
+  return counts
+}
+
+/** The whole description of a job. */
+export function describeJob(job: Job, tasks: readonly TaskAnswer[], explanation: readonly string[]): object {
+  const {specification} = job
+  const result = resultOf(job)
+  return {
+    job: specification.job,
+    team: specification.team,
+    workload: specification.workload,
+    kind: specification.kind,
+    acceptedAt: new Date(specification.acceptedAt).toISOString(),
+    state: result === "open" ? (job.cancelled ? "cancelling" : "open") : "ended",
+    execution: result === "open" ? "unknown" : result,
+    cancelled: job.cancelled,
+    counts: countStates(tasks),
+    tasks,
+    explanation,
+  }
+}
--- /dev/null
+++ b/src/controllers/journal.ts
@@ -0,0 +1,284 @@
+/**
+ * The durable record of one job group in the platform's store: numbered chunks of steps, created one after another,
+ * and a snapshot that replaces the oldest of them. A chunk is written only if its number is free, so that of two
+ * writers one fails: a new holder first writes a chunk of its own and thereby shuts out the holder before it.
+ *
+ * Steps that arrive close together share a chunk. A write whose reply was lost is settled by reading the chunk back.
+ */
+import {err, ok} from "neverthrow"
+import type {Result} from "neverthrow"
+import type {Clock, Milliseconds} from "../core/clock.js"
+import {sleep} from "../core/clock.js"
+import {NotHolder, StoreUnavailable, VersionConflict} from "../core/errors.js"
+import type {Random} from "../core/random.js"
+import type {JobStep} from "../jobs/job.js"
+import type {Store} from "../platform/ports.js"
+
+interface Chunk {
+  readonly writer: string
+  readonly steps: readonly JobStep[]
+}
+
+interface Manifest {
+  /** Number of the last chunk that the snapshot contains. */
+  readonly through: number
+  readonly snapshot: string
+  readonly parts: number
+}
+
+export type JournalError = NotHolder | StoreUnavailable
+
+export interface Journal {
+  /** Reads every step and shuts out earlier writers. */
+  readonly open: () => Promise<Result<readonly JobStep[], JournalError>>
+  /** Resolves once the steps are durable, or with an error once they surely cannot be written here. */
+  readonly append: (steps: readonly JobStep[]) => Promise<Result<void, NotHolder>>
+  /** Replaces the chunks written so far by a snapshot of the given steps. */
+  readonly compact: (steps: () => readonly JobStep[]) => Promise<boolean>
+  readonly chunksSinceSnapshot: () => number
+  readonly waiting: () => number
+  readonly close: () => void
+}
+
+export const COMMIT_INTERVAL_MS: Milliseconds = 40
+const LARGEST_CHUNK_CHARACTERS = 256 * 1024
+const LARGEST_PART_CHARACTERS = 512 * 1024
+const RETRY_MS: Milliseconds = 250
+const OPEN_ATTEMPTS = 20
+const NUMBER_WIDTH = 10
+const EMPTY_MANIFEST: Manifest = {through: 0, snapshot: "", parts: 0}
+
+interface Waiting {
+  readonly steps: readonly JobStep[]
+  readonly size: number
+  readonly resolve: (result: Result<void, NotHolder>) => void
+}
+
+/** Splits steps into groups whose text stays within a bound. */
+function splitBySize(steps: readonly JobStep[], bound: number): readonly (readonly JobStep[])[] {
+  const parts: JobStep[][] = [[]]
+  let size = 0
+  for (const step of steps) {
+    const length = JSON.stringify(step).length
+    if (size > 0 && size + length > bound) {
+      parts.push([])
+      size = 0
+    }
+    parts.at(-1)?.push(step)
+    size += length
+  }
+  return parts
+}
+
+/** Creates the journal of one job group for one holder. */
+export function journal(group: string, writer: string, store: Store, clock: Clock, random: Random): Journal {
+  const prefix = `journal/${group}/`
+  const chunkPrefix = `${prefix}chunk/`
+  const manifestKey = `${prefix}manifest`
+  let manifest: Manifest = EMPTY_MANIFEST
+  let manifestVersion = 0
+  let next = 1
+  let writes = 0
+  let queue: Waiting[] = []
+  let committing = false
+  let compacting = false
+  let lost = false
+
+  function chunkKey(number: number): string {
+    return chunkPrefix + String(number).padStart(NUMBER_WIDTH, "0")
+  }
+
+  function partKey(snapshot: string, part: number): string {
+    return `${prefix}snapshot/${snapshot}/${part}`
+  }
+
+  async function readSnapshot(
+    from: Manifest,
+  ): Promise<Result<readonly JobStep[] | undefined, StoreUnavailable>> {
+    const steps: JobStep[] = []
+    for (let part = 0; part < from.parts; part += 1) {
+      const found = await store.get(partKey(from.snapshot, part))
+      if (found.isErr()) return err(found.error)
+      if (!found.value) return ok(undefined)
+      steps.push(...(JSON.parse(found.value.value) as readonly JobStep[]))
+    }
+    return ok(steps)
+  }
+
+  /** Reads manifest, snapshot and chunks; undefined when a compaction ran in between and the read must be repeated. */
+  async function readAll(): Promise<Result<readonly JobStep[] | undefined, StoreUnavailable>> {
+    const stored = await store.get(manifestKey)
+    if (stored.isErr()) return err(stored.error)
+    manifest = stored.value ? (JSON.parse(stored.value.value) as Manifest) : EMPTY_MANIFEST
+    manifestVersion = stored.value?.version ?? 0
+    const snapshot = await readSnapshot(manifest)
+    if (snapshot.isErr() || !snapshot.value) return snapshot
+    const chunks = await store.list(chunkPrefix)
+    if (chunks.isErr()) return err(chunks.error)
+    const steps = [...snapshot.value]
+    next = manifest.through + 1
+    for (const {key, value} of [...chunks.value].sort((one, other) => (one.key < other.key ? -1 : 1))) {
+      const number = Number(key.slice(chunkPrefix.length))
+      if (number <= manifest.through) continue
+      if (number !== next) return ok(undefined)
+      steps.push(...(JSON.parse(value) as Chunk).steps)
+      next += 1
+    }
+    return ok(steps)
+  }
+
+  /** Creates a chunk. Gives true when it is ours, false when another writer has the number. */
+  async function create(number: number, chunk: Chunk): Promise<Result<boolean, StoreUnavailable>> {
+    const result = await store.compareAndSwap(chunkKey(number), 0, JSON.stringify(chunk))
+    if (result.isOk()) return ok(true)
+    if (!(result.error instanceof VersionConflict)) return err(result.error)
+    const found = await store.get(chunkKey(number))
+    if (found.isErr()) return err(found.error)
+    return ok(found.value !== undefined && (JSON.parse(found.value.value) as Chunk).writer === chunk.writer)
+  }
+
+  function newChunk(steps: readonly JobStep[]): Chunk {
+    writes += 1
+    return {writer: `${writer}/${writes}`, steps}
+  }
+
+  async function open(): Promise<Result<readonly JobStep[], JournalError>> {
+    const opening = newChunk([])
+    for (let attempt = 0; attempt < OPEN_ATTEMPTS && !lost; attempt += 1) {
+      const steps = await readAll()
+      if (steps.isOk() && steps.value) {
+        const created = await create(next, opening)
+        if (created.isOk() && created.value) {
+          next += 1
+          return ok(steps.value)
+        }
+      }
+      await sleep(clock, RETRY_MS * (0.5 + random.next()))
+    }
+    return lost
+      ? err(new NotHolder(group))
+      : err(new StoreUnavailable("the journal could not be opened", "not-run"))
+  }
+
+  function takeBatch(): readonly Waiting[] {
+    const batch: Waiting[] = []
+    let size = 0
+    while (queue[0] && (batch.length === 0 || size + queue[0].size < LARGEST_CHUNK_CHARACTERS)) {
+      const first = queue.shift() as Waiting
+      batch.push(first)
+      size += first.size
+    }
+    return batch
+  }
+
+  function fail(waiting: readonly Waiting[]): void {
+    for (const entry of waiting) entry.resolve(err(new NotHolder(group)))
+  }
+
+  /** Writes one batch, however long it takes: its fate must be known before the next number is used. */
+  async function commitBatch(batch: readonly Waiting[]): Promise<void> {
+    const chunk = newChunk(batch.flatMap(entry => entry.steps))
+    let delay = RETRY_MS
+    while (!lost) {
+      const created = await create(next, chunk)
+      if (created.isOk()) {
+        if (!created.value) {
+          lost = true
+          break
+        }
+        next += 1
+        for (const entry of batch) entry.resolve(ok(undefined))
+        return
+      }
+      await sleep(clock, delay * (0.5 + random.next()))
+      delay = Math.min(delay * 2, RETRY_MS * 8)
+    }
+    fail(batch)
+  }
+
+  async function commitLoop(): Promise<void> {
+    if (committing) return
+    committing = true
+    while (queue.length > 0 && !lost) {
+      await sleep(clock, COMMIT_INTERVAL_MS)
+      if (compacting) continue
+      const batch = takeBatch()
+      if (batch.length > 0) await commitBatch(batch)
+    }
+    committing = false
+    if (lost) {
+      fail(queue)
+      queue = []
+    }
+  }
+
+  async function writeParts(snapshot: string, parts: readonly (readonly JobStep[])[]): Promise<boolean> {
+    for (const [index, part] of parts.entries()) {
+      const written = await store.compareAndSwap(partKey(snapshot, index), 0, JSON.stringify(part))
+      if (written.isErr()) return false
+    }
+    return true
+  }
+
+  /** Removes what the newest snapshot has replaced. Whatever is left behind is removed by a later compaction. */
+  async function removeReplaced(previous: Manifest): Promise<void> {
+    const chunks = await store.list(chunkPrefix)
+    if (chunks.isErr()) return
+    for (const {key, version} of chunks.value) {
+      if (Number(key.slice(chunkPrefix.length)) <= manifest.through) await store.remove(key, version)
+    }
+    for (let part = 0; part < previous.parts; part += 1) {
+      const found = await store.get(partKey(previous.snapshot, part))
+      if (found.isOk() && found.value) await store.remove(found.value.key, found.value.version)
+    }
+  }
+
+  async function compact(steps: () => readonly JobStep[]): Promise<boolean> {
+    if (compacting || committing || lost) return false
+    compacting = true
+    const through = next - 1
+    const snapshot = `${writer}-${through}`
+    const parts = splitBySize(steps(), LARGEST_PART_CHARACTERS)
+    const previous = manifest
+    const replacement: Manifest = {through, snapshot, parts: parts.length}
+    let done = false
+    if (await writeParts(snapshot, parts)) {
+      const written = await store.compareAndSwap(manifestKey, manifestVersion, JSON.stringify(replacement))
+      if (written.isOk()) {
+        manifest = replacement
+        manifestVersion = written.value
+        done = true
+      }
+    }
+    compacting = false
+    if (done) await removeReplaced(previous)
+    else await refreshManifest()
+    return done
+  }
+
+  /** After a failed or unclear replacement: takes the manifest that the store has. */
+  async function refreshManifest(): Promise<void> {
+    const stored = await store.get(manifestKey)
+    if (stored.isErr() || !stored.value) return
+    manifest = JSON.parse(stored.value.value) as Manifest
+    manifestVersion = stored.value.version
+  }
+
+  return {
+    open,
+    append(steps) {
+      if (lost) return Promise.resolve(err(new NotHolder(group)))
+      if (steps.length === 0) return Promise.resolve(ok(undefined))
+      return new Promise(resolve => {
+        queue.push({steps, size: JSON.stringify(steps).length, resolve})
+        void commitLoop()
+      })
+    },
+    compact,
+    chunksSinceSnapshot: () => next - 1 - manifest.through,
+    waiting: () => queue.length,
+    close() {
+      lost = true
+    },
+  }
+}
--- /dev/null
+++ b/src/core/hash.ts
@@ -0,0 +1,24 @@
+/** Stable hashes that spread keys over groups and members. All instances must compute the same values. */
+
+const FNV_OFFSET = 0x811c9dc5
+const FNV_PRIME = 0x01000193
+
+/** The 32-bit FNV-1a hash of a string with a final avalanche step, as an unsigned integer. */
+export function hash32(text: string): number {
+  let hash = FNV_OFFSET
+  for (let index = 0; index < text.length; index += 1) {
+    hash ^= text.charCodeAt(index)
+    hash = Math.imul(hash, FNV_PRIME)
+  }
+  hash ^= hash >>> 16
+  hash = Math.imul(hash, 0x7feb352d)
+  hash ^= hash >>> 15
+  return hash >>> 0
+}
+
+/** Members in rendezvous order for a key: the order changes little when members come and go. */
+export function rendezvousOrder(key: string, members: readonly string[]): string[] {
+  const scored = members.map(member => ({member, score: hash32(`${key}|${member}`)}))
+  scored.sort((one, other) => other.score - one.score || (one.member < other.member ? -1 : 1))
+  return scored.map(entry => entry.member)
+}
--- /dev/null
+++ b/src/entry/keyhomes.ts
@@ -0,0 +1,80 @@
+/** Reaches the home of an idempotency key, here or at a peer. */
+import {create} from "@bufbuild/protobuf"
+import {err, ok} from "neverthrow"
+import {CallFailed} from "../core/errors.js"
+import {hash32} from "../core/hash.js"
+import type {Clock, Milliseconds} from "../core/clock.js"
+import {sleep} from "../core/clock.js"
+import type {GroupOwnerAddress} from "../controllers/placementclient.js"
+import type {KeyHomes} from "../filters/idempotency.js"
+import {callPeer} from "../peer/api.js"
+import type {PeerNetwork} from "../peer/api.js"
+import {BeginKeyRequestSchema, CompleteKeyRequestSchema, KeptAnswerSchema} from "../peer/generated/peer_pb.js"
+import type {BeginKeyResponse} from "../peer/generated/peer_pb.js"
+import type {KeptAnswer, KeyVerdict} from "../routing/keyregistry.js"
+
+export interface KeyHomesPorts {
+  readonly clock: Clock
+  readonly network: PeerNetwork
+  readonly holderOf: (group: string) => GroupOwnerAddress | undefined
+  readonly jobGroups: () => number
+}
+
+const ATTEMPTS = 6
+const RETRY_MS: Milliseconds = 150
+
+function verdictFrom(reply: BeginKeyResponse): KeyVerdict | undefined {
+  switch (reply.verdict) {
+    case "answered": {
+      const {status = 200, contentType = "", body = new Uint8Array()} = reply.answer ?? {}
+      return {type: "answered", answer: {status, contentType, body: Buffer.from(body).toString("base64")}}
+    }
+    case "elsewhere":
+      return undefined
+    case "go":
+    case "in-progress":
+    case "unvouched":
+    case "mismatch":
+      return {type: reply.verdict}
+    default:
+      return {type: "unknown"}
+  }
+}
+
+/** Creates the access to key homes of one instance. */
+export function keyHomes(ports: KeyHomesPorts): KeyHomes {
+  const groupOf = (key: string): string => `j/${hash32(key) % Math.max(1, ports.jobGroups())}`
+
+  return {
+    async begin(key, requestDigest, issuedAt, deadline) {
+      const jobGroup = groupOf(key)
+      const request = create(BeginKeyRequestSchema, {
+        jobGroup,
+        key,
+        requestDigest,
+        issuedAt,
+        deadline: Math.ceil(deadline),
+      })
+      for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
+        const holder = ports.holderOf(jobGroup)
+        if (holder) {
+          const reply = await callPeer(ports.network, holder.instance, peer => peer.beginKey(request))
+          // A lost reply may have registered the key: the request is not begun a second time under it.
+          if (reply.isErr() && reply.error.certainty === "unknown") return err(reply.error)
+          const verdict = reply.isOk() ? verdictFrom(reply.value) : undefined
+          if (verdict) return ok(verdict)
+        }
+        await sleep(ports.clock, RETRY_MS)
+      }
+      return err(new CallFailed(jobGroup, "no home of the key answers", "not-run"))
+    },
+    complete(key, execution, answer: KeptAnswer | undefined) {
+      const jobGroup = groupOf(key)
+      const holder = ports.holderOf(jobGroup)
+      if (!holder) return
+      const kept = answer && create(KeptAnswerSchema, {...answer, body: Buffer.from(answer.body, "base64")})
+      const request = create(CompleteKeyRequestSchema, {jobGroup, key, execution, answer: kept})
+      void callPeer(ports.network, holder.instance, peer => peer.completeKey(request))
+    },
+  }
+}
--- /dev/null
+++ b/src/entry/operatorcalls.ts
@@ -0,0 +1,150 @@
+/** Operators' calls on the configuration document: read, history, trial against the running state, promotion. */
+import {err, ok} from "neverthrow"
+import type {Result} from "neverthrow"
+import type {AcceptedDocument, Configuration, Proposal, ProposalError} from "../controllers/configuration.js"
+import {DocumentOvertaken, DocumentRejected} from "../controllers/configuration.js"
+import {problem} from "../controllers/jobanswers.js"
+import type {JobAnswer} from "../controllers/jobanswers.js"
+import {formatFinding} from "../core/finding.js"
+import {documentDigest} from "../document/digest.js"
+import {diffDocuments, diffThreeWay} from "../document/diff.js"
+import {readDocument} from "../document/read.js"
+import type {EnvironmentDocument} from "../document/model.js"
+
+export interface OperatorCalls {
+  readonly current: () => Promise<JobAnswer>
+  readonly history: () => Promise<JobAnswer>
+  readonly propose: (body: unknown) => Promise<JobAnswer>
+  readonly tryDocument: (body: unknown) => Promise<JobAnswer>
+}
+
+/** What a document would do to the running state. */
+export type WhatIf = (document: EnvironmentDocument) => readonly string[]
+
+function summary(document: AcceptedDocument): object {
+  const {number, digest, acceptedBy, acceptedAt} = document
+  return {number, digest, acceptedBy, acceptedAt: new Date(acceptedAt).toISOString()}
+}
+
+function readProposal(body: unknown): Result<Proposal, JobAnswer> {
+  const fields = (typeof body === "object" && body !== null ? body : {}) as Readonly<Record<string, unknown>>
+  const {text, baseNumber, operator, proposal} = fields
+  const valid =
+    typeof text === "string" &&
+    typeof baseNumber === "number" &&
+    typeof operator === "string" &&
+    operator !== "" &&
+    typeof proposal === "string"
+  if (valid) return ok({text, baseNumber, operator, proposal})
+  return err(
+    problem(
+      400,
+      "malformed-proposal",
+      "The proposal is malformed",
+      "Send text, baseNumber, operator and proposal.",
+      "not-run",
+    ),
+  )
+}
+
+function textOf(body: unknown): string | undefined {
+  const text =
+    typeof body === "object" && body !== null ? (body as {readonly text?: unknown}).text : undefined
+  return typeof text === "string" ? text : undefined
+}
+
+/** Creates the calls of one instance. */
+export function operatorCalls(configuration: Configuration, whatIf: WhatIf): OperatorCalls {
+  async function baseText(number: number): Promise<string> {
+    const history = await configuration.history()
+    return history.isOk() ? (history.value.find(document => document.number === number)?.text ?? "") : ""
+  }
+
+  async function failure(error: ProposalError, proposal: Proposal): Promise<JobAnswer> {
+    if (error instanceof DocumentRejected) {
+      return problem(422, "document-rejected", "The document was not accepted", error.message, "not-run", {
+        findings: error.findings,
+      })
+    }
+    if (error instanceof DocumentOvertaken) {
+      const changes = diffThreeWay(await baseText(proposal.baseNumber), error.current.text, proposal.text)
+      return problem(
+        409,
+        "document-overtaken",
+        "Another document was accepted first",
+        error.message,
+        "not-run",
+        {
+          current: summary(error.current),
+          changes,
+        },
+      )
+    }
+    const title =
+      error.certainty === "not-run"
+        ? "The document was not accepted"
+        : "Whether the document was accepted is not known yet"
+    return problem(503, "store-unavailable", title, error.message, error.certainty)
+  }
+
+  return {
+    current() {
+      const current = configuration.current()
+      if (!current)
+        return Promise.resolve(
+          problem(404, "no-document", "No document is in force", "Promote one.", "not-run"),
+        )
+      return Promise.resolve({status: 200, body: {...summary(current), text: current.text}})
+    },
+    async history() {
+      const history = await configuration.history()
+      if (history.isErr())
+        return problem(
+          503,
+          "store-unavailable",
+          "The history cannot be read now",
+          history.error.message,
+          "not-run",
+        )
+      const documents = history.value.map((document, index) => {
+        const previous = history.value[index - 1]?.text ?? ""
+        return {...summary(document), changes: diffDocuments(previous, document.text)}
+      })
+      return {status: 200, body: {documents}}
+    },
+    async propose(body) {
+      const proposal = readProposal(body)
+      if (proposal.isErr()) return proposal.error
+      const accepted = await configuration.propose(proposal.value)
+      return accepted.isOk()
+        ? {status: 200, body: {accepted: summary(accepted.value)}}
+        : failure(accepted.error, proposal.value)
+    },
+    tryDocument(body) {
+      const text = textOf(body)
+      if (text === undefined)
+        return Promise.resolve(
+          problem(400, "malformed-trial", "The call is malformed", "Send text.", "not-run"),
+        )
+      const read = readDocument("document", text)
+      if (read.isErr()) {
+        const findings = read.error.map(formatFinding)
+        return Promise.resolve(
+          problem(
+            422,
+            "document-rejected",
+            "The document has findings",
+            `${findings.length} findings.`,
+            "not-run",
+            {findings},
+          ),
+        )
+      }
+      const changes = diffDocuments(configuration.current()?.text ?? "", text)
+      return Promise.resolve({
+        status: 200,
+        body: {digest: documentDigest(text), changes, effects: whatIf(read.value)},
+      })
+    },
+  }
+}
--- /dev/null
+++ b/src/entry/whatif.ts
@@ -0,0 +1,64 @@
+/** Says in words what a document would do to what runs and waits now, without changing anything. */
+import type {HeldGroups} from "../controllers/heldgroups.js"
+import type {PoolShape} from "../controllers/jobhome.js"
+import {add, describeResources, fits, NOTHING} from "../core/resources.js"
+import type {Resources} from "../core/resources.js"
+import type {EnvironmentDocument} from "../document/model.js"
+import type {Attempt} from "../jobs/attempt.js"
+
+function runningHere(held: HeldGroups): readonly Attempt[] {
+  return [...held.workerGroups().values()].flatMap(group =>
+    group.owner
+      .workers()
+      .running()
+      .map(entry => entry.attempt),
+  )
+}
+
+function usageByTeam(running: readonly Attempt[]): ReadonlyMap<string, Resources> {
+  const usage = new Map<string, Resources>()
+  for (const {team, demand} of running) usage.set(team, add(usage.get(team) ?? NOTHING, demand))
+  return usage
+}
+
+function removedNames<T>(
+  before: ReadonlyMap<string, T> | undefined,
+  after: ReadonlyMap<string, T>,
+): readonly string[] {
+  return [...(before?.keys() ?? [])].filter(name => !after.has(name))
+}
+
+/** The effects, one sentence each. What runs on the workers of other instances is not seen here. */
+export function whatIf(
+  next: EnvironmentDocument,
+  current: EnvironmentDocument | undefined,
+  held: HeldGroups,
+  poolShape: (pool: string) => PoolShape | undefined,
+): readonly string[] {
+  const effects: string[] = []
+  const running = runningHere(held)
+  for (const [team, used] of usageByTeam(running)) {
+    const quota = next.teams.get(team)?.quota
+    if (!quota) effects.push(`Team ${team} is removed: what it runs goes on, and nothing of it starts again.`)
+    else if (!fits(used, quota))
+      effects.push(
+        `Team ${team} uses ${describeResources(used)} here, more than its new quota: it starts nothing until it is below.`,
+      )
+  }
+  for (const service of removedNames(current?.services, next.services)) {
+    effects.push(
+      `Service ${service} is removed: requests in hand are finished, waiting and new ones are answered not run.`,
+    )
+  }
+  for (const workload of removedNames(current?.workloads, next.workloads)) {
+    const count = running.filter(attempt => attempt.workload === workload).length
+    effects.push(
+      `Workload ${workload} is removed: ${count} tasks of it run here and go on; new jobs of it are refused.`,
+    )
+  }
+  for (const {name, pool} of [...next.services.values(), ...next.workloads.values()]) {
+    if (!poolShape(pool))
+      effects.push(`${name} names the pool ${pool}, which has no workers: it would starve.`)
+  }
+  return effects
+}
--- /dev/null
+++ b/src/peer/api.ts
@@ -0,0 +1,69 @@
+/** The calls between entry instances, as an interface that a network client, a server and a fake all meet. */
+import {err, ok} from "neverthrow"
+import type {Result} from "neverthrow"
+import {CallFailed, describeError} from "../core/errors.js"
+import type {
+  AbandonRequest,
+  AbandonResponse,
+  BeginKeyRequest,
+  BeginKeyResponse,
+  CompleteKeyRequest,
+  CompleteKeyResponse,
+  FetchDocumentRequest,
+  FetchDocumentResponse,
+  ForwardRequest,
+  ForwardResponse,
+  GossipMessage,
+  HandOverRequest,
+  HandOverResponse,
+  HoldingsRequest,
+  HoldingsResponse,
+  InventoryRequest,
+  InventoryResponse,
+  LendRequest,
+  LendResponse,
+  PlaceRequest,
+  PlaceResponse,
+  PromiseRequest,
+  PromiseResponse,
+  ReportEndsRequest,
+  ReportEndsResponse,
+} from "./generated/peer_pb.js"
+
+/** Each method rejects when the call fails; `callPeer` turns that into a result. */
+export interface PeerApi {
+  readonly gossip: (request: GossipMessage) => Promise<GossipMessage>
+  readonly promise: (request: PromiseRequest) => Promise<PromiseResponse>
+  readonly place: (request: PlaceRequest) => Promise<PlaceResponse>
+  readonly abandon: (request: AbandonRequest) => Promise<AbandonResponse>
+  readonly reportEnds: (request: ReportEndsRequest) => Promise<ReportEndsResponse>
+  readonly inventory: (request: InventoryRequest) => Promise<InventoryResponse>
+  readonly lend: (request: LendRequest) => Promise<LendResponse>
+  readonly holdings: (request: HoldingsRequest) => Promise<HoldingsResponse>
+  readonly fetchDocument: (request: FetchDocumentRequest) => Promise<FetchDocumentResponse>
+  readonly forward: (request: ForwardRequest) => Promise<ForwardResponse>
+  readonly beginKey: (request: BeginKeyRequest) => Promise<BeginKeyResponse>
+  readonly completeKey: (request: CompleteKeyRequest) => Promise<CompleteKeyResponse>
+  readonly handOver: (request: HandOverRequest) => Promise<HandOverResponse>
+}
+
+/** Finds the interface of a peer, by instance name or, for one not known yet, by address. */
+export interface PeerNetwork {
+  readonly reach: (instance: string) => PeerApi | undefined
+  readonly reachAddress: (address: string) => PeerApi
+}
+
+/** Calls a peer and gives the failure as a value. A peer that cannot be found has not run anything. */
+export async function callPeer<T>(
+  network: PeerNetwork,
+  instance: string,
+  call: (peer: PeerApi) => Promise<T>,
+): Promise<Result<T, CallFailed>> {
+  const peer = network.reach(instance)
+  if (!peer) return err(new CallFailed(instance, "its address is not known", "not-run"))
+  try {
+    return ok(await call(peer))
+  } catch (error) {
+    return err(new CallFailed(instance, describeError(error), "unknown"))
+  }
+}
--- /dev/null
+++ b/src/peer/server.ts
@@ -0,0 +1,84 @@
+/** Serves peer calls over Connect on HTTP/2, in plain text or with mutual TLS, and counts control bytes. */
+import {readFileSync} from "node:fs"
+import {createSecureServer, createServer} from "node:http2"
+import type {Http2SecureServer, Http2Server, ServerHttp2Session} from "node:http2"
+import type {Socket} from "node:net"
+import {connectNodeAdapter} from "@connectrpc/connect-node"
+import type {PeerApi} from "./api.js"
+import type {PeerTls} from "./client.js"
+import {Peer} from "./generated/peer_pb.js"
+
+export interface PeerServer {
+  /** The address on which peers are served. */
+  readonly address: string
+  /** Bytes received and sent on all connections so far. */
+  readonly bytes: () => number
+  readonly close: () => Promise<void>
+}
+
+function createListener(api: PeerApi, tls: PeerTls | undefined): Http2Server | Http2SecureServer {
+  const handler = connectNodeAdapter({
+    routes(router) {
+      router.service(Peer, {...api})
+    },
+  })
+  if (!tls) return createServer(handler)
+  const files = {
+    cert: readFileSync(tls.certificate),
+    key: readFileSync(tls.key),
+    ca: readFileSync(tls.authority),
+  }
+  return createSecureServer({...files, requestCert: true, rejectUnauthorized: true}, handler)
+}
+
+/** Starts to serve on `host:port`; port 0 takes a free one. */
+export function servePeers(
+  api: PeerApi,
+  listenAddress: string,
+  tls: PeerTls | undefined,
+): Promise<PeerServer> {
+  const server = createListener(api, tls)
+  const sockets = new Set<Socket>()
+  const sessions = new Set<ServerHttp2Session>()
+  let closedBytes = 0
+
+  server.on("connection", (socket: Socket) => {
+    sockets.add(socket)
+    socket.on("error", () => socket.destroy())
+    socket.on("close", () => {
+      sockets.delete(socket)
+      closedBytes += socket.bytesRead + socket.bytesWritten
+    })
+  })
+  server.on("session", session => {
+    sessions.add(session)
+    session.on("error", () => session.destroy())
+    session.on("close", () => sessions.delete(session))
+  })
+
+  function bytes(): number {
+    let total = closedBytes
+    for (const socket of sockets) total += socket.bytesRead + socket.bytesWritten
+    return total
+  }
+
+  async function close(): Promise<void> {
+    const closed = new Promise<void>(resolve => {
+      server.close(() => resolve())
+    })
+    for (const session of sessions) session.destroy()
+    for (const socket of sockets) socket.destroy()
+    await closed
+  }
+
+  const separator = listenAddress.lastIndexOf(":")
+  const host = listenAddress.slice(0, separator)
+  return new Promise((resolve, reject) => {
+    server.once("error", reject)
+    server.listen(Number(listenAddress.slice(separator + 1)), host, () => {
+      const bound = server.address()
+      const port = typeof bound === "object" && bound !== null ? bound.port : 0
+      resolve({address: `${host}:${port}`, bytes, close})
+    })
+  })
+}
