Startup and takeover: no claims before peers are heard, no hand-over to the dead

Cause: the first instance of several claimed every group and handed most of them over again under load; groups went to an instance that was fenced, because gossip still called it alive; slots of new groups were in doubt although nobody could have lent them; connections of two services shared slot numbers, so that one request's end cut another's connection.

--- a/src/controllers/attempttracker.ts
+++ b/src/controllers/attempttracker.ts
@@ -9,6 +9,9 @@
 
 export type AttemptPhase = "asking" | "running" | "in-doubt" | "stopping"
 
+/** A wish to end an attempt. */
+export type StopWanted = "none" | "stop" | "checkpoint"
+
 export interface TrackedAttempt {
   readonly attempt: Attempt
   readonly group: string
@@ -17,8 +20,8 @@
   readonly phase: AttemptPhase
   readonly worker: string
   readonly since: Milliseconds
-  /** True once a stop or checkpoint was asked for. */
-  readonly stopWanted: boolean
+  /** What the owner was asked for, and is asked for again until it has done it. */
+  readonly stopWanted: StopWanted
 }
 
 export interface AttemptTracker {
--- a/src/controllers/backendclient.ts
+++ b/src/controllers/backendclient.ts
@@ -41,7 +41,7 @@
 
 /** Creates the client of one entry instance. */
 export function backendClient(): BackendClient {
-  const clients = new Map<number, Client>()
+  const clients = new Map<string, Client>()
 
   function clientFor(slot: Slot): Client {
     const known = clients.get(slot.id)
@@ -71,7 +71,7 @@
         const client = clientFor(slot)
         sent = true
         const reply = await client.request({
-          method: method as "GET",
+          method: method,
           path,
           headers: headers as Record<string, string>,
           body: body.length > 0 ? body : null,
--- a/src/controllers/dispatcher.ts
+++ b/src/controllers/dispatcher.ts
@@ -232,7 +232,7 @@
         phase: "asking",
         worker: "",
         since,
-        stopWanted: false,
+        stopWanted: "none",
       })
       return attempt
     })
@@ -382,7 +382,8 @@
   }
 
   function stop(entries: readonly TrackedAttempt[], checkpoint: boolean): void {
-    for (const entry of entries) tracker.update(entry.attempt.attempt, {stopWanted: true})
+    for (const entry of entries)
+      tracker.update(entry.attempt.attempt, {stopWanted: checkpoint ? "checkpoint" : "stop"})
     const groups = describeGroups()
     for (const [name, listed] of groupBy(entries)) {
       const group = groups.get(name)
@@ -408,7 +409,7 @@
       const worker = running.get(name)
       if (worker !== undefined) {
         tracker.update(name, {phase: "running", worker, ownerEpoch: group.owner.epoch, since: clock.now()})
-        if (entry.stopWanted) stop([entry], false)
+        if (entry.stopWanted !== "none") stop([entry], entry.stopWanted === "checkpoint")
       } else if (reply.value.complete) missing.push(entry)
     }
     if (missing.length > 0) await giveUp(group, missing)
@@ -431,6 +432,14 @@
     }
   }
 
+  /** Asks again to end attempts that still run although that was asked for: the call may have been lost. */
+  function repeatStops(group: ReachableGroup, entries: readonly TrackedAttempt[]): readonly Promise<void>[] {
+    return (["stop", "checkpoint"] as const).flatMap(wanted => {
+      const open = entries.filter(entry => entry.phase === "running" && entry.stopWanted === wanted)
+      return open.length > 0 ? [sendStop(group, open, wanted === "checkpoint")] : []
+    })
+  }
+
   async function settle(): Promise<void> {
     if (settling || closed || !ports.mayAct()) return
     settling = true
@@ -441,6 +450,7 @@
       if (!group) continue
       const doubtful = entries.filter(entry => isDoubtful(entry, group))
       if (doubtful.length > 0) work.push(settleGroup(group, doubtful))
+      work.push(...repeatStops(group, entries))
     }
     await Promise.all(work)
     settling = false
--- a/src/controllers/fencer.ts
+++ b/src/controllers/fencer.ts
@@ -87,7 +87,7 @@
   return {
     promise(holder, incarnation, view) {
       const known = view.instances.get(holder)?.record
-      const gone = known !== undefined && known.incarnation === incarnation && known.state !== "active"
+      const gone = known?.incarnation === incarnation && known.state !== "active"
       if (gone || !mayPromise(promises, holder)) return 0
       apply({type: "promise-given", holder, at: clock.now()})
       return PROMISE_TERM_MS
--- a/src/controllers/gangs.ts
+++ b/src/controllers/gangs.ts
@@ -70,6 +70,10 @@
   let closed = false
   let working = false
 
+  function isClosed(): boolean {
+    return closed
+  }
+
   function ordered(): readonly WaitingGang[] {
     return [...waiting.values()].sort((one, other) => rankOf(one) - rankOf(other))
   }
@@ -194,7 +198,7 @@
     working = true
     let oldest = true
     for (const gang of ordered()) {
-      if (closed) break
+      if (isClosed()) break
       await tryGang(gang, oldest)
       if (waiting.has(gang.job)) oldest = false
     }
--- a/src/controllers/heldgroups.ts
+++ b/src/controllers/heldgroups.ts
@@ -69,7 +69,8 @@
     owner.reconcile(listed)
     lender.reconcile(listed)
     workers.set(group, {epoch, owner, lender})
-    ports.askBorrowers(group, epoch, lender)
+    if (epoch === 1) lender.adopt([], true)
+    else ports.askBorrowers(group, epoch, lender)
   }
 
   function lose(group: string): void {
--- a/src/controllers/instancelist.ts
+++ b/src/controllers/instancelist.ts
@@ -1,6 +1,8 @@
 /** Keeps the newest reading of the platform's lagging instance list, and what follows from it. */
 import type {Clock, Milliseconds} from "../core/clock.js"
-import {largest, NOTHING} from "../core/resources.js"
+import {sleep} from "../core/clock.js"
+import {add, largest, NOTHING} from "../core/resources.js"
+import type {FreeCapacity} from "../membership/table.js"
 import type {InstanceList, ListedInstance} from "../platform/ports.js"
 import type {PoolShape} from "./jobhome.js"
 
@@ -12,6 +14,8 @@
   readonly peerAddresses: () => readonly string[]
   /** Worker groups that exist, by name. */
   readonly workerGroups: () => ReadonlyMap<string, readonly ListedInstance[]>
+  /** The same groups with what they would offer if all their workers were empty. */
+  readonly emptyGroups: () => ReadonlyMap<string, FreeCapacity>
   readonly poolShape: (pool: string) => PoolShape | undefined
 }
 
@@ -49,6 +53,25 @@
   return shapes
 }
 
+/** What a group would offer if all of its workers were empty: an assumption until its owner is heard. */
+export function emptyGroup(workers: readonly ListedInstance[]): FreeCapacity {
+  const total = workers.reduce((sum, worker) => add(sum, worker.capacity), NOTHING)
+  const most = workers.reduce((top, worker) => largest(top, worker.capacity), NOTHING)
+  return {
+    processors: total.processors,
+    memoryMebibytes: total.memoryMebibytes,
+    accelerators: total.accelerators,
+    largestProcessors: most.processors,
+    largestMemoryMebibytes: most.memoryMebibytes,
+    largestAccelerators: most.accelerators,
+    idleSlots: 1,
+    waiting: 0,
+    totalProcessors: total.processors,
+    totalMemoryMebibytes: total.memoryMebibytes,
+    totalAccelerators: total.accelerators,
+  }
+}
+
 /** Creates the controller of the instance with the given name. */
 export function instanceListController(
   self: string,
@@ -58,6 +81,7 @@
 ): InstanceListController {
   let entries: readonly ListedInstance[] = []
   let groups: ReadonlyMap<string, readonly ListedInstance[]> = new Map()
+  let empty: ReadonlyMap<string, FreeCapacity> = new Map()
   let shapes: ReadonlyMap<string, PoolShape> = new Map()
   let text = ""
   let stopped = false
@@ -70,14 +94,15 @@
     text = fresh
     entries = result.value
     groups = groupWorkers(entries)
+    empty = new Map([...groups].map(([group, workers]) => [group, emptyGroup(workers)]))
     shapes = shapePools(entries)
     onChange()
   }
 
   async function loop(): Promise<void> {
     while (!stopped) {
-      await new Promise<void>(resolve => clock.after(READ_INTERVAL_MS, resolve))
-      if (!stopped) await read()
+      await sleep(clock, READ_INTERVAL_MS)
+      await read()
     }
   }
 
@@ -93,6 +118,7 @@
     peerAddresses: () =>
       entries.filter(entry => entry.kind === "entry" && entry.name !== self).map(entry => entry.address),
     workerGroups: () => groups,
+    emptyGroups: () => empty,
     poolShape: pool => shapes.get(pool),
   }
 }
--- a/src/controllers/jobhome.ts
+++ b/src/controllers/jobhome.ts
@@ -253,7 +253,7 @@
       if (others.length === 0) enqueueGang(job)
       else
         work.stop(
-          others.filter(entry => !entry.stopWanted),
+          others.filter(entry => entry.stopWanted === "none"),
           job.specification.checkpointable,
         )
       return
@@ -335,7 +335,7 @@
       phase: "asking",
       worker: "",
       since: clock.now(),
-      stopWanted: false,
+      stopWanted: "none",
     }
   }
 
@@ -658,7 +658,10 @@
     for (const entry of work.tracker().all()) {
       const {attempt} = entry
       const movable =
-        entry.phase === "running" && attempt.checkpointable && attempt.kind === "batch" && !entry.stopWanted
+        entry.phase === "running" &&
+        attempt.checkpointable &&
+        attempt.kind === "batch" &&
+        entry.stopWanted === "none"
       const moved = moves.get(taskName(attempt.job, attempt.task)) ?? 0
       if (movable && moved < LARGEST_MOVES_PER_TASK)
         byJob.set(attempt.workload, [...(byJob.get(attempt.workload) ?? []), entry])
--- a/src/controllers/journal.ts
+++ b/src/controllers/journal.ts
@@ -163,11 +163,12 @@
   function takeBatch(): readonly Waiting[] {
     const batch: Waiting[] = []
     let size = 0
-    while (queue[0] && (batch.length === 0 || size + queue[0].size < LARGEST_CHUNK_CHARACTERS)) {
-      const first = queue.shift() as Waiting
-      batch.push(first)
-      size += first.size
+    for (const waiting of queue) {
+      if (batch.length > 0 && size + waiting.size >= LARGEST_CHUNK_CHARACTERS) break
+      batch.push(waiting)
+      size += waiting.size
     }
+    queue = queue.slice(batch.length)
     return batch
   }
 
--- a/src/controllers/leasekeeper.ts
+++ b/src/controllers/leasekeeper.ts
@@ -133,7 +133,7 @@
     writing = true
     askPromises(true)
     if (lease.pending) await readBack()
-    if (!stopped) await write(wanted)
+    if (!lease.ended) await write(wanted)
     writing = false
   }
 
--- a/src/controllers/ownership.ts
+++ b/src/controllers/ownership.ts
@@ -34,6 +34,8 @@
   readonly members: () => readonly PlacedMember[]
   /** The incarnation of a member, as last heard. */
   readonly incarnationOf: (instance: string) => string | undefined
+  /** Number of other entry instances in the platform's list. */
+  readonly listedPeers: () => number
   /** Every group that should have a holder. */
   readonly groups: () => readonly string[]
   readonly onAcquired: (group: string, epoch: number) => void
@@ -76,6 +78,7 @@
 const FULL_READ_INTERVAL_MS: Milliseconds = 15_000
 const CLAIM_STAGGER_MS: Milliseconds = 250
 const SETTLING_MS: Milliseconds = 1500
+const JOINING_MS: Milliseconds = 2000
 const RELEASE_LIMIT_MS: Milliseconds = 3000
 
 /** Creates a new incarnation name. Later ones compare as larger strings. */
@@ -125,9 +128,18 @@
     })
   }
 
+  /** Members that can hold groups: the store knows their incarnation as active. */
+  function eligible(): readonly PlacedMember[] {
+    return ports.members().filter(member => {
+      if (member.instance === instance) return true
+      const record = view.instances.get(member.instance)?.record
+      return record?.state === "active" && record.incarnation === ports.incarnationOf(member.instance)
+    })
+  }
+
   function wantedSuccessors(current: readonly string[], silent: ReadonlySet<string>): readonly string[] {
     const place = {instance, dataCentre: ports.dataCentre}
-    const candidates = ports.members().filter(member => !silent.has(member.instance))
+    const candidates = eligible().filter(member => !silent.has(member.instance))
     return chooseSuccessors(place, candidates, current, ports.successors)
   }
 
@@ -211,13 +223,18 @@
 
   /** Where this instance stands in the order of claimers decides how long it waits before it claims. */
   function claimDelay(group: string): Milliseconds {
-    const members = ports.members().map(member => member.instance)
+    const members = eligible().map(member => member.instance)
     const position = claimOrder(group, currentHolders(view), members).indexOf(instance)
     return position < 0 ? CLAIM_STAGGER_MS * members.length : position * CLAIM_STAGGER_MS
   }
 
+  /** A new instance first hears its peers, so that the first of several does not claim everything. */
+  function isJoining(): boolean {
+    return clock.now() < startedAt + JOINING_MS && ports.members().length < ports.listedPeers() + 1
+  }
+
   function claimOrphans(): void {
-    if (leaving || !keeper.mayAct()) return
+    if (leaving || !keeper.mayAct() || isJoining()) return
     let pending = 0
     for (const group of ports.groups()) {
       const known = view.groups.get(group)
@@ -235,12 +252,22 @@
     }
   }
 
+  /** Asks for a sign of life before anything is given away. */
+  async function answers(to: string): Promise<boolean> {
+    const probe = create(HandOverRequestSchema, {from: instance})
+    return (await callPeer(network, to, peer => peer.handOver(probe))).isOk()
+  }
+
   /** Gives one group to another instance. The group's record names the new holder before it may decide. */
   async function handOver(group: string, to: string): Promise<boolean> {
     const known = view.groups.get(group)
     const incarnation = ports.incarnationOf(to)
     if (!known || incarnation === undefined || releasing.has(group)) return false
     releasing.add(group)
+    if (!(await answers(to))) {
+      releasing.delete(group)
+      return false
+    }
     await withTimeout(clock, ports.onReleasing(group), RELEASE_LIMIT_MS, undefined)
     const state = ports.handOverState(group)
     held.delete(group)
@@ -268,7 +295,7 @@
 
   async function rebalance(): Promise<void> {
     if (moving || leaving || clock.now() < startedAt + SETTLING_MS || !keeper.mayAct()) return
-    const members = ports.members().map(member => member.instance)
+    const members = eligible().map(member => member.instance)
     const move = nextMove(instance, currentHolders(view), members)
     if (!move || !held.has(move.group)) return
     moving = true
@@ -289,8 +316,7 @@
   async function release(): Promise<void> {
     leaving = true
     const receivers = (): readonly string[] =>
-      ports
-        .members()
+      eligible()
         .map(member => member.instance)
         .filter(name => name !== instance)
     await Promise.all(
--- a/src/controllers/requestrouter.ts
+++ b/src/controllers/requestrouter.ts
@@ -92,7 +92,7 @@
   const queue = admissionQueue()
   const waiters = new Map<string, Waiter>()
   const times = serviceTimes()
-  const laneOfSlot = new Map<number, LaneName>()
+  const laneOfSlot = new Map<string, LaneName>()
   let healths: ServerHealths = new Map()
   let budget: RetryBudget = newRetryBudget(ports.definition().retryShare)
   let closed = false
--- a/src/controllers/slotborrower.ts
+++ b/src/controllers/slotborrower.ts
@@ -21,7 +21,8 @@
 }
 
 export interface Slot {
-  readonly id: number
+  /** Unique over all services of the instance. */
+  readonly id: string
   readonly group: string
   readonly server: string
   readonly address: string
@@ -87,7 +88,7 @@
 export function slotBorrower(ports: SlotBorrowerPorts): SlotBorrower {
   const {clock} = ports
   const loans = new Map<string, GroupLoans>()
-  const bySlot = new Map<number, HeldSlot>()
+  const bySlot = new Map<string, HeldSlot>()
   let nextId = 1
   let calls = 0
   let closed = false
@@ -172,7 +173,7 @@
     for (const {server, address, dataCentre, count} of reply.grants) {
       for (let index = 0; index < count; index += 1) {
         const slot: HeldSlot = {
-          id: nextId,
+          id: `${ports.service}/${nextId}`,
           group: name,
           server,
           address,
--- a/src/controllers/slotlender.ts
+++ b/src/controllers/slotlender.ts
@@ -101,6 +101,7 @@
   const startedAt = clock.now()
   let ledger: SlotLedger = EMPTY_SLOTS
   let waiters: readonly Waiter[] = []
+  let adopted = false
   let draining = false
   let closed = false
 
@@ -108,6 +109,11 @@
     ledger = applySlotStep(ledger, step)
   }
 
+  /** From then on a server that is new here cannot have been lent by a former owner. */
+  function loansAreKnown(): boolean {
+    return adopted || clock.now() > startedAt + stretched(LOAN_TERM_MS)
+  }
+
   function mayLend(): boolean {
     return !draining && !closed && ports.epoch() !== undefined
   }
@@ -275,6 +281,8 @@
       })
       if (entry.status === "leaving") listedLeaving.add(server)
       else listedLeaving.delete(server)
+      if (!known && loansAreKnown())
+        apply({type: "counted", server, inHand: 0, askedAt: Number.POSITIVE_INFINITY})
       if (known) setOpen(server)
       else {
         const found = ledger.get(server)
@@ -303,6 +311,7 @@
         else apply({type: "held", server, borrower, count, expiresAt: loanEnd()})
       }
       if (!complete) return
+      adopted = true
       for (const {server} of ledger.values()) {
         apply({type: "counted", server, inHand: inDoubt.get(server) ?? 0, askedAt: Number.POSITIVE_INFINITY})
       }
--- a/src/controllers/workerlink.ts
+++ b/src/controllers/workerlink.ts
@@ -81,6 +81,10 @@
   let flushWanted = false
   let syncs = 0
 
+  function isClosed(): boolean {
+    return closed
+  }
+
   function settleStart(name: string, result: StartResult): void {
     const pending = starts.get(name)
     if (!pending) return
@@ -178,7 +182,7 @@
     if (epoch === undefined || closed) return false
     syncs += 1
     const report = await gateway.sync(address, compose(epoch, wait))
-    if (closed) return false
+    if (isClosed()) return false
     if (report.isErr()) {
       failures += 1
       return false
--- a/src/core/inifile.ts
+++ b/src/core/inifile.ts
@@ -90,7 +90,7 @@
 export function readIni(file: string, text: string): IniFile {
   const {lines, findings} = scan(file, text)
   const sections = new Map<string, Record<string, string>>()
-  collect(parse(text) as Readonly<Record<string, unknown>>, "", sections)
+  collect(parse(text), "", sections)
   for (const place of lines.keys()) {
     const [section = "", key] = place.split("\n")
     if (key === "" && !sections.has(section)) sections.set(section, {})
--- a/src/entry/callerserver.ts
+++ b/src/entry/callerserver.ts
@@ -182,6 +182,7 @@
     team: String(incoming.headers["lacewing-team"] ?? ""),
     execution: undefined,
     attempts: 0,
+    detail: "",
     keepAnswer: false,
     keptAnswer: undefined,
   }
--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -102,11 +102,6 @@
   const routers = new Map<string, RequestRouter>()
   const record = requestRecord(clock, ports.metrics)
   let leaving = false
-  let handlers: PeerApi | undefined
-  let ownership: Ownership
-  let membership: Membership
-  let peerServer: PeerServer
-  let held: HeldGroups
 
   const clients = peerClients(name => membership.addressOf(name), settings.peerTls)
   const network: PeerNetwork = {
@@ -229,7 +224,7 @@
     return ownership.epochOf(group) === epoch ? epoch : undefined
   }
 
-  held = heldGroups({
+  const held: HeldGroups = heldGroups({
     wallClock: clock.wallClock,
     workersOf: group => list.workerGroups().get(group) ?? [],
     askBorrowers,
@@ -273,7 +268,7 @@
     },
   })
 
-  ownership = ownershipController(instance, incarnation, {
+  const ownership: Ownership = ownershipController(instance, incarnation, {
     clock,
     random,
     store,
@@ -283,6 +278,7 @@
     successors: settings.successors,
     members: () => membership.active(),
     incarnationOf: name => membership.table().get(name)?.member.incarnation,
+    listedPeers: () => list.peerAddresses().length,
     groups: allGroups,
     onAcquired(group, epoch) {
       held.acquire(group, epoch)
@@ -304,6 +300,7 @@
     self: () => membership.self(),
     ownClaims,
     storedHolder,
+    existingGroups: list.emptyGroups,
   })
 
   const jobs = jobCalls({
@@ -323,27 +320,25 @@
     return all
   }
 
-  const handlersFor = (): PeerApi =>
-    peerHandlers({
-      membership,
-      ownership,
-      configuration,
-      held,
-      jobCalls: jobs,
-      wallClock: clock.wallClock,
-      holdingsOf,
-    })
-
+  // The server must listen before the handlers exist, because they need its address.
   const late: PeerApi = lateApi(() => handlers)
-  peerServer = await servePeers(late, settings.peerAddress, settings.peerTls)
-  membership = membershipController(instance, incarnation, {
+  const peerServer: PeerServer = await servePeers(late, settings.peerAddress, settings.peerTls)
+  const membership: Membership = membershipController(instance, incarnation, {
     clock,
     random,
     network,
     listedAddresses: list.peerAddresses,
     describeSelf,
   })
-  handlers = handlersFor()
+  const handlers: PeerApi = peerHandlers({
+    membership,
+    ownership,
+    configuration,
+    held,
+    jobCalls: jobs,
+    wallClock: clock.wallClock,
+    holdingsOf,
+  })
 
   const limits = () => document()?.limits
   const filters: readonly Filter[] = [
@@ -367,7 +362,7 @@
       await runChain(exchange)
     } finally {
       record.note(exchange)
-      const {id, service, method, execution, attempts, startedAt} = exchange
+      const {id, service, method, execution, attempts, detail, startedAt} = exchange
       log.info(
         {
           event: "request-ended",
@@ -376,6 +371,7 @@
           method,
           execution,
           attempts,
+          detail,
           took: clock.now() - startedAt,
         },
         "a request ended",
@@ -472,13 +468,8 @@
   }
 }
 
-/** Handlers that exist only once the instance is wired: until then calls are refused. */
-function lateApi(current: () => PeerApi | undefined): PeerApi {
-  const get = (): PeerApi => {
-    const api = current()
-    if (!api) throw new RangeError("The instance is starting and takes no calls yet.")
-    return api
-  }
+/** Passes calls on to handlers that are created later. A call that comes before is refused. */
+function lateApi(get: () => PeerApi): PeerApi {
   return {
     gossip: request => get().gossip(request),
     promise: request => get().promise(request),
--- a/src/entry/keyhomes.ts
+++ b/src/entry/keyhomes.ts
@@ -1,4 +1,5 @@
 /** Reaches the home of an idempotency key, here or at a peer. */
+import {randomUUID} from "node:crypto"
 import {create} from "@bufbuild/protobuf"
 import {err, ok} from "neverthrow"
 import {CallFailed} from "../core/errors.js"
@@ -20,7 +21,7 @@
   readonly jobGroups: () => number
 }
 
-const ATTEMPTS = 6
+const ANSWER_RESERVE_MS: Milliseconds = 300
 const RETRY_MS: Milliseconds = 150
 
 function verdictFrom(reply: BeginKeyResponse): KeyVerdict | undefined {
@@ -54,18 +55,18 @@
         requestDigest,
         issuedAt,
         deadline: Math.ceil(deadline),
+        passage: randomUUID(),
       })
-      for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
+      const giveUpAt = ports.clock.now() + deadline - ANSWER_RESERVE_MS
+      do {
         const holder = ports.holderOf(jobGroup)
         if (holder) {
           const reply = await callPeer(ports.network, holder.instance, peer => peer.beginKey(request))
-          // A lost reply may have registered the key: the request is not begun a second time under it.
-          if (reply.isErr() && reply.error.certainty === "unknown") return err(reply.error)
           const verdict = reply.isOk() ? verdictFrom(reply.value) : undefined
           if (verdict) return ok(verdict)
         }
         await sleep(ports.clock, RETRY_MS)
-      }
+      } while (ports.clock.now() < giveUpAt)
       return err(new CallFailed(jobGroup, "no home of the key answers", "not-run"))
     },
     complete(key, execution, answer: KeptAnswer | undefined) {
--- a/src/entry/peerhandlers.ts
+++ b/src/entry/peerhandlers.ts
@@ -124,16 +124,11 @@
   function beginKey(request: BeginKeyRequest): KeyVerdict | undefined {
     const group = held.jobGroup(request.jobGroup)
     if (!group || ownership.epochOf(request.jobGroup) === undefined) return undefined
-    return group.keys.begin(
-      request.key,
-      request.requestDigest,
-      request.issuedAt,
-      request.deadline,
-      ports.wallClock(),
-    )
+    return group.keys.begin(request, ports.wallClock())
   }
 
   async function handOver(request: HandOverRequest): Promise<void> {
+    if (request.group === "") return
     await ownership.refresh()
     const worker = held.workerGroup(request.group)
     if (worker?.epoch === request.epoch) worker.lender.adopt(request.lent, true)
--- a/src/entry/routes.ts
+++ b/src/entry/routes.ts
@@ -1,6 +1,6 @@
 /** Where groups are held, as this instance knows from its own records, from gossip and from the store. */
 import type {Clock, Milliseconds} from "../core/clock.js"
-import type {Claim, Member, Table} from "../membership/table.js"
+import type {Claim, FreeCapacity, Member, Table} from "../membership/table.js"
 import type {ReachableGroup} from "../controllers/dispatcher.js"
 import {poolOfGroup} from "../controllers/instancelist.js"
 import type {GroupOwnerAddress} from "../controllers/placementclient.js"
@@ -14,6 +14,8 @@
   readonly ownClaims: () => readonly Claim[]
   /** Holder and epoch that the store named last. */
   readonly storedHolder: (group: string) => GroupOwnerAddress | undefined
+  /** Worker groups that exist, with what their workers have in all. */
+  readonly existingGroups: () => ReadonlyMap<string, FreeCapacity>
 }
 
 export interface Routes {
@@ -66,6 +68,10 @@
           owner: newer(owner, ports.storedHolder(group)),
         })
     }
+    for (const [group, free] of ports.existingGroups()) {
+      const owner = located.has(group) ? undefined : ports.storedHolder(group)
+      if (owner) groups.push({group, pool: poolOfGroup(group), free, owner})
+    }
     reachable = groups
   }
 
--- a/src/filters/body.ts
+++ b/src/filters/body.ts
@@ -64,14 +64,19 @@
       return
     }
     const outcome = await read(incoming, largestBytes(), clock, exchange.deadlineAt - clock.now())
-    if (outcome.type === "too-large")
-      refuse(413, "body-too-large", "The body is too large", `At most ${largestBytes()} bytes are taken.`)
-    else if (outcome.type === "too-slow")
-      refuse(408, "body-too-slow", "The body came too slowly", "It was not whole at the deadline.")
-    else if (outcome.type === "cut") exchange.execution = "not-run"
-    else if (outcome.type === "read") {
-      exchange.body = outcome.body
-      await next()
+    switch (outcome.type) {
+      case "too-large":
+        refuse(413, "body-too-large", "The body is too large", `At most ${largestBytes()} bytes are taken.`)
+        return
+      case "too-slow":
+        refuse(408, "body-too-slow", "The body came too slowly", "It was not whole at the deadline.")
+        return
+      case "cut":
+        exchange.execution = "not-run"
+        return
+      case "read":
+        exchange.body = outcome.body
+        await next()
     }
   }
 }
--- a/src/filters/filter.ts
+++ b/src/filters/filter.ts
@@ -27,6 +27,8 @@
   /** What the answer said of the work, for the log. */
   execution: Execution | undefined
   attempts: number
+  /** Why the request did not run or has no known outcome, for the log. */
+  detail: string
   /** True when the answer must be kept for a repeated idempotency key. */
   keepAnswer: boolean
   keptAnswer: KeptAnswer | undefined
--- a/src/filters/forward.ts
+++ b/src/filters/forward.ts
@@ -203,6 +203,7 @@
 
   function finish(exchange: Exchange, problem: Problem): void {
     exchange.execution = problem.execution
+    exchange.detail = problem.detail
     sendProblem(exchange.outgoing, exchange.id, problem)
   }
 
--- a/src/filters/headers.ts
+++ b/src/filters/headers.ts
@@ -26,7 +26,7 @@
 ])
 
 function listedInConnection(headers: IncomingHttpHeaders): ReadonlySet<string> {
-  const header = String(headers.connection ?? "")
+  const header = headers.connection ?? ""
   return new Set(header.split(",").map(name => name.trim().toLowerCase()))
 }
 
--- a/src/filters/idempotency.ts
+++ b/src/filters/idempotency.ts
@@ -91,6 +91,7 @@
     }
     const refuse = (problem: Problem): void => {
       exchange.execution = problem.execution
+      exchange.detail = problem.detail
       sendProblem(exchange.outgoing, exchange.id, problem)
     }
     const text = String(header).replace(/^"(.*)"$/, "$1")
--- a/src/ownership/assignment.ts
+++ b/src/ownership/assignment.ts
@@ -49,7 +49,9 @@
       member => member !== self && (counts.get(member) ?? 0) < Math.max(1, floor),
     )
     const to = receivers.sort(
-      (one, other) => (counts.get(one) ?? 0) - (counts.get(other) ?? 0) || hash32(one) - hash32(other),
+      (one, other) =>
+        (counts.get(one) ?? 0) - (counts.get(other) ?? 0) ||
+        hash32(`${self}|${one}`) - hash32(`${self}|${other}`),
     )[0]
     const group = [...holders]
       .filter(([name, holder]) => holder === self && groupKind(name) === kind)
--- a/src/peer/api.ts
+++ b/src/peer/api.ts
@@ -53,6 +53,12 @@
   readonly reachAddress: (address: string) => PeerApi
 }
 
+/** True when the peer's address took no connection, so that the call cannot have reached it. */
+function wasRefused(error: unknown): boolean {
+  const cause = (error as {readonly cause?: unknown} | undefined)?.cause
+  return (cause as {readonly code?: unknown} | undefined)?.code === "ECONNREFUSED"
+}
+
 /** Calls a peer and gives the failure as a value. A peer that cannot be found has not run anything. */
 export async function callPeer<T>(
   network: PeerNetwork,
@@ -64,6 +70,6 @@
   try {
     return ok(await call(peer))
   } catch (error) {
-    return err(new CallFailed(instance, describeError(error), "unknown"))
+    return err(new CallFailed(instance, describeError(error), wasRefused(error) ? "not-run" : "unknown"))
   }
 }
--- a/src/routing/keyregistry.ts
+++ b/src/routing/keyregistry.ts
@@ -13,7 +13,8 @@
 }
 
 export type KeyState =
-  | {readonly type: "running"; readonly until: Milliseconds}
+  /** `passage` names the one passage of the request through the system that may run it. */
+  | {readonly type: "running"; readonly until: Milliseconds; readonly passage: string}
   | {readonly type: "answered"; readonly answer: KeptAnswer}
   | {readonly type: "unknown"}
 
@@ -32,14 +33,18 @@
   | {readonly type: "mismatch"}
   | {readonly type: "unknown"}
 
+/** A request with a key, as it asks whether it may run. */
+export interface KeyedRequest {
+  readonly key: string
+  readonly requestDigest: string
+  /** Wall-clock time at which the caller issued the key. */
+  readonly issuedAt: number
+  readonly deadline: Milliseconds
+  readonly passage: string
+}
+
 export interface KeyRegistry {
-  readonly begin: (
-    key: string,
-    requestDigest: string,
-    issuedAt: number,
-    deadline: Milliseconds,
-    now: number,
-  ) => KeyVerdict
+  readonly begin: (request: KeyedRequest, now: number) => KeyVerdict
   readonly complete: (
     key: string,
     execution: "ran" | "not-run" | "unknown",
@@ -91,24 +96,23 @@
     }
   }
 
-  function verdictOn(entry: KeyEntry, requestDigest: string, now: number): KeyVerdict {
-    if (entry.requestDigest !== requestDigest) return {type: "mismatch"}
+  function verdictOn(entry: KeyEntry, request: KeyedRequest, now: number): KeyVerdict {
+    if (entry.requestDigest !== request.requestDigest) return {type: "mismatch"}
     const {state} = entry
+    if (state.type === "running" && state.passage === request.passage) return {type: "go"}
     if (state.type === "answered") return {type: "answered", answer: state.answer}
     if (state.type === "running" && now < state.until) return {type: "in-progress"}
     return {type: "unknown"}
   }
 
   return {
-    begin(key, requestDigest, issuedAt, deadline, now) {
+    begin(request, now) {
+      const {key, requestDigest, issuedAt, deadline, passage} = request
       const known = entries.get(key)
-      if (known) return verdictOn(known, requestDigest, now)
+      if (known) return verdictOn(known, request, now)
       if (issuedAt < vouched) return {type: "unvouched"}
-      put(key, {
-        requestDigest,
-        issuedAt,
-        state: {type: "running", until: now + deadline + PROGRESS_MARGIN_MS},
-      })
+      const until = now + deadline + PROGRESS_MARGIN_MS
+      put(key, {requestDigest, issuedAt, state: {type: "running", until, passage}})
       evict()
       return {type: "go"}
     },
--- a/standins/demo.ts
+++ b/standins/demo.ts
@@ -287,7 +287,7 @@
   const destination =
     options.log === undefined ? undefined : pino.destination({dest: options.log, sync: false})
   const log = destination ? pino({level: "info"}, destination) : pino({level: "silent"})
-  const environment = await startTrial(deployment, options.seed, log)
+  const environment = await startTrial(deployment, options.seed, instance => log.child({instance}))
   try {
     const {verdict, measures} = await run(environment, options.seed)
     if (options.json)
--- a/standins/trial.ts
+++ b/standins/trial.ts
@@ -132,7 +132,7 @@
 export async function startTrial(
   deployment: Deployment,
   seed: number,
-  log: Logger,
+  logFor: (instance: string) => Logger,
 ): Promise<TrialEnvironment> {
   const clock = systemClock()
   const truth = truthRecord()
@@ -169,7 +169,7 @@
       list: httpInstanceList(caller, settings.value.instanceListAddress),
       gateway: httpWorkerGateway(caller),
       probe: httpBackendProbe(caller),
-      log,
+      log: logFor(name),
       metrics: createMetrics("", name),
       onReplaced: () => undefined,
     })
