Ends of attempts are reported once, and again less and less often

Cause: while the store is away ends cannot be made durable and are not acknowledged. Each report of a worker repeated all of them, answered the owner's waiting call at once, and each owner told each home all of them five times a second: cost grew with the length of the outage.

Reports now carry ends after a number that the owner names; unacknowledged ones are told again after 0.4 s, doubling to 6 s.

Conclusion: cost of an outage no longer grows with its length; the failure tests of ownership stand in test/failures.

--- a/src/controllers/groupowner.ts
+++ b/src/controllers/groupowner.ts
@@ -99,8 +99,16 @@
 const SWEEP_MS: Milliseconds = 200
 const BARRED_FOR_MS: Milliseconds = 15 * 60_000
 const PREEMPTION_TERM_MS: Milliseconds = 5000
+const FIRST_REPORT_DELAY_MS: Milliseconds = 400
+const LARGEST_REPORT_DELAY_MS: Milliseconds = 6000
+const ENDS_PER_REPORT = 256
 const MEBIBYTES_IN_STEP = 256
 
+interface ReportSchedule {
+  readonly delay: Milliseconds
+  readonly nextAt: Milliseconds
+}
+
 interface Waiter {
   readonly resolve: (answer: PlacementAnswer) => void
 }
@@ -124,6 +132,8 @@
   const waiters = new Map<string, Waiter>()
   const preemptions = new Map<string, RunningPreemption>()
   const inFlight = new Set<Promise<unknown>>()
+  /** When each pending end is to be reported again. */
+  const reports = new Map<string, ReportSchedule>()
   let room: WaitingRoom = []
   let draining = false
   let closed = false
@@ -390,16 +400,36 @@
     clock.after(SWEEP_MS, sweep)
   }
 
-  async function reportOnce(): Promise<void> {
+  /** Ends whose next report is due, by the home that they belong to, a bounded number for each. */
+  function dueReports(): ReadonlyMap<string, readonly AttemptEnd[]> {
+    const now = clock.now()
     const byHome = new Map<string, AttemptEnd[]>()
     for (const end of workers.pendingEnds().values()) {
+      if ((reports.get(end.attempt)?.nextAt ?? 0) > now) continue
       const ends = byHome.get(end.jobGroup) ?? []
-      ends.push(end)
+      if (ends.length < ENDS_PER_REPORT) ends.push(end)
       byHome.set(end.jobGroup, ends)
     }
+    return byHome
+  }
+
+  /** An end that its home has not written down yet is told again, less and less often. */
+  function scheduleReport(attempt: string): void {
+    const delay = Math.min(
+      LARGEST_REPORT_DELAY_MS,
+      2 * (reports.get(attempt)?.delay ?? FIRST_REPORT_DELAY_MS / 2),
+    )
+    reports.set(attempt, {delay, nextAt: clock.now() + delay * (0.75 + ports.random.next() / 2)})
+  }
+
+  async function reportOnce(): Promise<void> {
     await Promise.all(
-      [...byHome].map(async ([jobGroup, ends]) => {
-        for (const taken of await ports.reportEnds(jobGroup, ends)) workers.acknowledge(taken)
+      [...dueReports()].map(async ([jobGroup, ends]) => {
+        for (const end of ends) scheduleReport(end.attempt)
+        for (const taken of await ports.reportEnds(jobGroup, ends)) {
+          workers.acknowledge(taken)
+          reports.delete(taken)
+        }
       }),
     )
   }
--- a/src/controllers/workerlink.ts
+++ b/src/controllers/workerlink.ts
@@ -72,6 +72,7 @@
   const acknowledged = new Set<string>()
   const openedAt = clock.now()
   let boot = ""
+  let endedAfter = 0
   let basis: Milliseconds = -1
   let heardAt: Milliseconds | undefined
   let failures = 0
@@ -126,11 +127,13 @@
     if (boot !== "" && report.boot !== boot) {
       boot = report.boot
       basis = -1
+      endedAfter = 0
       forgetBoot()
     }
     boot = report.boot
     if (report.clock < basis) return
     basis = report.clock
+    endedAfter = report.endedThrough
     heardAt = clock.now()
     failures = 0
     lapsed = false
@@ -139,8 +142,6 @@
     for (const orders of [stops, checkpoints, throttles]) {
       for (const name of orders) if (!running.has(name) && !starts.has(name)) orders.delete(name)
     }
-    const ended = new Set(report.ended.map(end => end.attempt))
-    for (const name of acknowledged) if (!ended.has(name)) acknowledged.delete(name)
     ports.onReport(report, first)
   }
 
@@ -172,6 +173,7 @@
       checkpoints: [...checkpoints],
       throttles: [...throttles],
       acknowledged: [...acknowledged],
+      endedAfter,
       wait,
     }
   }
@@ -181,14 +183,17 @@
     const epoch = ports.epoch()
     if (epoch === undefined || closed) return false
     syncs += 1
-    const report = await gateway.sync(address, compose(epoch, wait))
+    const request = compose(epoch, wait)
+    const report = await gateway.sync(address, request)
     if (isClosed()) return false
     if (report.isErr()) {
       failures += 1
       return false
     }
-    if (report.value.epoch <= epoch) takeReport(report.value)
-    return report.value.epoch <= epoch
+    if (report.value.epoch > epoch) return false
+    if (report.value.boot === request.boot) for (const name of request.acknowledged) acknowledged.delete(name)
+    takeReport(report.value)
+    return true
   }
 
   async function listen(): Promise<void> {
--- a/src/core/virtualclock.ts
+++ b/src/core/virtualclock.ts
@@ -8,6 +8,7 @@
   readonly due: Milliseconds
   readonly sequence: number
   readonly callback: () => void
+  cancelled: boolean
 }
 
 export interface VirtualClock extends Clock {
@@ -15,49 +16,83 @@
   readonly advance: (span: Milliseconds) => Promise<void>
 }
 
-const SETTLING_TURNS = 4
+/** Lets all promise reactions run that do not wait for a timer. */
+function settle(): Promise<void> {
+  return new Promise(resolve => {
+    setImmediate(resolve)
+  })
+}
 
-/** Lets promise reactions and queued macrotasks run. */
-async function settle(): Promise<void> {
-  for (let turn = 0; turn < SETTLING_TURNS; turn += 1) {
-    await new Promise<void>(resolve => {
-      setImmediate(resolve)
-    })
-  }
+function comesBefore(one: Timer, other: Timer): boolean {
+  return one.due < other.due || (one.due === other.due && one.sequence < other.sequence)
 }
 
-function earliest(timers: ReadonlySet<Timer>, limit: Milliseconds): Timer | undefined {
-  let first: Timer | undefined
-  for (const timer of timers) {
-    if (timer.due > limit) continue
-    if (!first || timer.due < first.due || (timer.due === first.due && timer.sequence < first.sequence))
-      first = timer
+/** A binary heap with the earliest timer at its root. */
+function timerHeap() {
+  const heap: Timer[] = []
+
+  function swap(one: number, other: number): void {
+    const timer = heap[one] as Timer
+    heap[one] = heap[other] as Timer
+    heap[other] = timer
+  }
+
+  function sinkRoot(): void {
+    let index = 0
+    for (;;) {
+      const left = 2 * index + 1
+      let least = index
+      for (const child of [left, left + 1]) {
+        if (child < heap.length && comesBefore(heap[child] as Timer, heap[least] as Timer)) least = child
+      }
+      if (least === index) return
+      swap(index, least)
+      index = least
+    }
+  }
+
+  return {
+    push(timer: Timer): void {
+      heap.push(timer)
+      let index = heap.length - 1
+      while (index > 0) {
+        const parent = (index - 1) >> 1
+        if (!comesBefore(heap[index] as Timer, heap[parent] as Timer)) return
+        swap(index, parent)
+        index = parent
+      }
+    },
+    peek: (): Timer | undefined => heap[0],
+    pop(): void {
+      const last = heap.pop()
+      if (!last || heap.length === 0) return
+      heap[0] = last
+      sinkRoot()
+    },
   }
-  return first
 }
 
 /** Creates a virtual clock that starts at the given instant. */
 export function virtualClock(start: Milliseconds = 0): VirtualClock {
-  const timers = new Set<Timer>()
+  const timers = timerHeap()
   let now = start
   let sequence = 0
 
   function after(delay: Milliseconds, callback: () => void): Cancel {
     sequence += 1
-    const timer = {due: now + Math.max(0, delay), sequence, callback}
-    timers.add(timer)
+    const timer: Timer = {due: now + Math.max(0, delay), sequence, callback, cancelled: false}
+    timers.push(timer)
     return () => {
-      timers.delete(timer)
+      timer.cancelled = true
     }
   }
 
   async function advance(span: Milliseconds): Promise<void> {
     const end = now + span
     await settle()
-    for (;;) {
-      const timer = earliest(timers, end)
-      if (!timer) break
-      timers.delete(timer)
+    for (let timer = timers.peek(); timer && timer.due <= end; timer = timers.peek()) {
+      timers.pop()
+      if (timer.cancelled) continue
       now = Math.max(now, timer.due)
       timer.callback()
       await settle()
--- /dev/null
+++ b/src/entry/core.ts
@@ -0,0 +1,372 @@
+/**
+ * The controllers of one entry instance, wired to each other. Whatever touches a socket or a clock comes in from
+ * outside, so that a daemon, a trial environment and a test under a virtual clock build the same instance.
+ */
+import {create} from "@bufbuild/protobuf"
+import type {Clock, Milliseconds} from "../core/clock.js"
+import {sleep, withTimeout} from "../core/clock.js"
+import type {Random} from "../core/random.js"
+import {configurationController} from "../controllers/configuration.js"
+import type {Configuration, DocumentInForce} from "../controllers/configuration.js"
+import {groupOwner} from "../controllers/groupowner.js"
+import {heldGroups} from "../controllers/heldgroups.js"
+import type {HeldGroups} from "../controllers/heldgroups.js"
+import {instanceListController} from "../controllers/instancelist.js"
+import type {InstanceListController} from "../controllers/instancelist.js"
+import {jobHome} from "../controllers/jobhome.js"
+import type {Logger} from "../controllers/logger.js"
+import {membershipController} from "../controllers/membership.js"
+import type {Membership} from "../controllers/membership.js"
+import {newIncarnation, ownershipController} from "../controllers/ownership.js"
+import type {Ownership} from "../controllers/ownership.js"
+import {placementClient} from "../controllers/placementclient.js"
+import type {GroupOwnerAddress} from "../controllers/placementclient.js"
+import {requestRouter} from "../controllers/requestrouter.js"
+import type {RequestRouter} from "../controllers/requestrouter.js"
+import {slotLender} from "../controllers/slotlender.js"
+import type {SlotLender} from "../controllers/slotlender.js"
+import type {Slot} from "../controllers/slotborrower.js"
+import type {EnvironmentDocument} from "../document/model.js"
+import type {AttemptEnd} from "../jobs/attempt.js"
+import type {Claim, MemberState} from "../membership/table.js"
+import {callPeer} from "../peer/api.js"
+import type {PeerApi, PeerNetwork} from "../peer/api.js"
+import {endToMessage} from "../peer/convert.js"
+import {HoldingsRequestSchema, ReportEndsRequestSchema} from "../peer/generated/peer_pb.js"
+import {BestOfDrawn} from "../placement/groupchoice.js"
+import type {GuardedStore} from "../platform/guardedstore.js"
+import {guardedStore} from "../platform/guardedstore.js"
+import type {BackendProbe, InstanceList, Store, WorkerGateway} from "../platform/ports.js"
+import {jobCalls} from "./jobcalls.js"
+import type {JobCalls} from "./jobcalls.js"
+import {peerHandlers} from "./peerhandlers.js"
+import {routes as createRoutes} from "./routes.js"
+import type {Routes} from "./routes.js"
+
+export interface EntryCorePorts {
+  readonly clock: Clock
+  readonly random: Random
+  readonly store: Store
+  readonly list: InstanceList
+  readonly gateway: WorkerGateway
+  readonly probe: BackendProbe
+  readonly log: Logger
+  /** Reaches the other instances. Calls to this instance itself do not pass through it. */
+  readonly peers: PeerNetwork
+  /** Address on which peers reach this instance. */
+  readonly peerAddress: string
+  readonly isLeaving: () => boolean
+  readonly failureShare: () => number
+  /** A request slot was given back: its connection is not needed any more. */
+  readonly onSlotReturned: (slot: Slot) => void
+  /** A later process runs under this instance's name. */
+  readonly onReplaced: () => void
+}
+
+export interface EntryCore {
+  readonly handlers: PeerApi
+  readonly store: GuardedStore
+  readonly list: InstanceListController
+  readonly membership: Membership
+  readonly ownership: Ownership
+  readonly configuration: Configuration
+  readonly held: HeldGroups
+  readonly jobs: JobCalls
+  readonly routes: Routes
+  readonly routers: ReadonlyMap<string, RequestRouter>
+  readonly network: PeerNetwork
+  readonly document: () => EnvironmentDocument | undefined
+  readonly jobGroupCount: () => number
+  readonly start: () => Promise<void>
+  readonly stop: () => void
+}
+
+export interface EntryIdentity {
+  readonly instance: string
+  readonly dataCentre: string
+  readonly successors: number
+}
+
+const HOLDINGS_ASKED = 32
+const HANDED_OVER_KEY_BYTES = 512 * 1024
+const NO_DOCUMENT_DEADLINE_MS: Milliseconds = 60_000
+const START_LIMIT_MS: Milliseconds = 5000
+const FIRST_PEER_LIMIT_MS: Milliseconds = 1500
+const FIRST_PEER_POLL_MS: Milliseconds = 25
+
+/** Wires the controllers. Nothing runs before `start`. */
+export function createEntryCore(identity: EntryIdentity, ports: EntryCorePorts): EntryCore {
+  const {clock, random, log} = ports
+  const {instance, dataCentre} = identity
+  const store = guardedStore(ports.store, clock, random)
+  const incarnation = newIncarnation(clock, random)
+  const routers = new Map<string, RequestRouter>()
+  const network: PeerNetwork = {
+    reach: name => (name === instance ? handlers : ports.peers.reach(name)),
+    reachAddress: ports.peers.reachAddress,
+  }
+  const list = instanceListController(instance, ports.list, clock, () => held.reconcile())
+
+  function document(): EnvironmentDocument | undefined {
+    return configuration.current()?.document
+  }
+
+  function jobGroupCount(): number {
+    return document()?.jobGroups ?? 0
+  }
+
+  function allGroups(): readonly string[] {
+    const jobs = Array.from({length: jobGroupCount()}, (_, index) => `j/${index}`)
+    return [...list.workerGroups().keys(), ...jobs]
+  }
+
+  function ownClaims(): readonly Claim[] {
+    const claims: Claim[] = []
+    for (const [group] of ownership.held()) {
+      const epoch = ownership.epochOf(group)
+      if (epoch !== undefined) claims.push({group, epoch, free: held.freeOf(group)})
+    }
+    return claims
+  }
+
+  function describeSelf(): MemberState {
+    return {
+      address: ports.peerAddress,
+      dataCentre,
+      status: ports.isLeaving() ? "leaving" : "active",
+      documentNumber: configuration.current()?.number ?? 0,
+      holderIncarnation: ownership.incarnation(),
+      claims: ownClaims(),
+      failureShare: ports.failureShare(),
+    }
+  }
+
+  function storedHolder(group: string): GroupOwnerAddress | undefined {
+    const known = ownership.view().groups.get(group)?.record
+    return known && {instance: known.holder.instance, epoch: known.epoch}
+  }
+
+  const configuration = configurationController({
+    clock,
+    random,
+    store,
+    network,
+    log,
+    instance,
+    members: () => membership.active(),
+    onChange: adoptDocument,
+  })
+
+  /** Brings the request routers in line with the document. Requests that wait for a removed service are shed. */
+  function adoptDocument(accepted: DocumentInForce): void {
+    for (const name of accepted.document.services.keys())
+      if (!routers.has(name)) routers.set(name, createRouter(name))
+    for (const [name, router] of routers) {
+      if (accepted.document.services.has(name)) continue
+      router.close()
+      routers.delete(name)
+    }
+    held.reconcile()
+  }
+
+  function createRouter(service: string): RequestRouter {
+    const definition = () => {
+      const found = document()?.services.get(service)
+      if (!found) throw new RangeError(`The document names no service ${service}.`)
+      return found
+    }
+    return requestRouter(service, {
+      clock,
+      random,
+      network,
+      log,
+      instance,
+      incarnation: () => ownership.incarnation(),
+      dataCentre,
+      definition,
+      groups: () => routes.lendingGroups(document()?.services.get(service)?.pool ?? ""),
+      onReturned: ports.onSlotReturned,
+    })
+  }
+
+  async function reportEnds(jobGroup: string, ends: readonly AttemptEnd[]): Promise<readonly string[]> {
+    const holder = routes.holderOf(jobGroup)
+    if (!holder) return []
+    const request = create(ReportEndsRequestSchema, {jobGroup, ends: ends.map(endToMessage)})
+    const reply = await callPeer(network, holder.instance, peer => peer.reportEnds(request))
+    return reply.isOk() ? reply.value.acknowledged : []
+  }
+
+  function askBorrowers(group: string, epoch: number, lender: SlotLender): void {
+    const members = membership.active().slice(0, HOLDINGS_ASKED)
+    const request = create(HoldingsRequestSchema, {group, ownerEpoch: epoch, owner: instance})
+    for (const member of members) {
+      void callPeer(network, member.instance, peer => peer.holdings(request)).then(reply => {
+        if (reply.isErr()) return
+        const loans = reply.value.uses.map(({server, held: count}) => ({
+          borrower: member.instance,
+          server,
+          count,
+        }))
+        lender.adopt(loans, false)
+      })
+    }
+  }
+
+  function epochIf(group: string, epoch: number): number | undefined {
+    return ownership.epochOf(group) === epoch ? epoch : undefined
+  }
+
+  const held: HeldGroups = heldGroups({
+    wallClock: clock.wallClock,
+    workersOf: group => list.workerGroups().get(group) ?? [],
+    askBorrowers,
+    createOwner: (group, epoch) =>
+      groupOwner(group, {
+        clock,
+        random,
+        gateway: ports.gateway,
+        log,
+        instance,
+        epoch: () => epochIf(group, epoch),
+        policyOf: workload => document()?.workloads.get(workload)?.policy ?? "pack",
+        reportEnds: (jobGroup, ends) => reportEnds(jobGroup, ends),
+      }),
+    createLender: (group, epoch) =>
+      slotLender({
+        clock,
+        probe: ports.probe,
+        log,
+        epoch: () => epochIf(group, epoch),
+        slotsOf: service => document()?.services.get(service)?.slots,
+        longestDeadline: () => document()?.limits.maximumDeadline ?? NO_DOCUMENT_DEADLINE_MS,
+      }),
+    createHome: (group, epoch) => {
+      const mayAct = (): boolean => ownership.epochOf(group) === epoch
+      return jobHome(group, epoch, {
+        clock,
+        random,
+        store,
+        log,
+        client: placementClient({jobGroup: group, epoch}, network, mayAct),
+        choice: new BestOfDrawn(),
+        instance,
+        document,
+        groups: () => routes.workerGroups(),
+        groupNames: () => [...list.workerGroups().keys()],
+        poolShape: list.poolShape,
+        mayAct,
+        storeIsReachable: () => !store.statistics().open,
+      })
+    },
+  })
+
+  const ownership: Ownership = ownershipController(instance, incarnation, {
+    clock,
+    random,
+    store,
+    network,
+    log,
+    dataCentre,
+    successors: identity.successors,
+    members: () => membership.active(),
+    incarnationOf: name => membership.table().get(name)?.member.holderIncarnation,
+    listedPeers: () => list.peerAddresses().length,
+    groups: allGroups,
+    onAcquired(group, epoch) {
+      held.acquire(group, epoch)
+      membership.announce()
+    },
+    onReleasing: group => held.drain(group),
+    onLost: group => held.lose(group),
+    handOverState(group) {
+      const lent = held.workerGroup(group)?.lender.loans() ?? []
+      const keys = held.jobGroup(group)?.keys.exportText(HANDED_OVER_KEY_BYTES) ?? ""
+      return {lent, keys: Buffer.from(keys)}
+    },
+    onReplaced: ports.onReplaced,
+  })
+
+  const routes = createRoutes({
+    clock,
+    table: () => membership.table(),
+    self: () => membership.self(),
+    ownClaims,
+    storedHolder,
+    existingGroups: list.emptyGroups,
+  })
+
+  const jobs = jobCalls({
+    clock,
+    network,
+    instance,
+    held,
+    epochOf: group => ownership.epochOf(group),
+    holderOf: routes.holderOf,
+    jobGroups: jobGroupCount,
+  })
+
+  function holdingsOf(group: string): ReadonlyMap<string, number> {
+    const all = new Map<string, number>()
+    for (const router of routers.values())
+      for (const [server, count] of router.borrower().holdingsOf(group)) all.set(server, count)
+    return all
+  }
+
+  const membership: Membership = membershipController(instance, incarnation, {
+    clock,
+    random,
+    network,
+    listedAddresses: list.peerAddresses,
+    describeSelf,
+  })
+
+  const handlers: PeerApi = peerHandlers({
+    membership,
+    ownership,
+    configuration,
+    held,
+    jobCalls: jobs,
+    wallClock: clock.wallClock,
+    holdingsOf,
+  })
+
+  /** A restarted instance hears a peer before it trusts what the store says, which may be stale. */
+  async function hearPeer(): Promise<void> {
+    const giveUpAt = clock.now() + FIRST_PEER_LIMIT_MS
+    while (list.peerAddresses().length > 0 && membership.table().size === 0 && clock.now() < giveUpAt) {
+      await sleep(clock, FIRST_PEER_POLL_MS)
+    }
+  }
+
+  return {
+    handlers,
+    store,
+    list,
+    membership,
+    ownership,
+    configuration,
+    held,
+    jobs,
+    routes,
+    routers,
+    network,
+    document,
+    jobGroupCount,
+    async start() {
+      await list.start()
+      membership.start()
+      await hearPeer()
+      await withTimeout(clock, ownership.start(), START_LIMIT_MS, undefined)
+      await withTimeout(clock, configuration.start(), START_LIMIT_MS, undefined)
+    },
+    stop() {
+      list.stop()
+      configuration.stop()
+      ownership.stop()
+      membership.stop()
+      for (const router of routers.values()) router.close()
+      for (const group of [...ownership.held().keys()]) held.lose(group)
+    },
+  }
+}
--- a/src/membership/table.ts
+++ b/src/membership/table.ts
@@ -33,6 +33,8 @@
   readonly dataCentre: string
   readonly status: "active" | "leaving"
   readonly documentNumber: number
+  /** The incarnation under which the member holds groups; it changes when the member is fenced. */
+  readonly holderIncarnation: string
   readonly claims: readonly Claim[]
   readonly failureShare: number
 }
--- a/src/peer/convert.ts
+++ b/src/peer/convert.ts
@@ -107,7 +107,7 @@
   const {instance, incarnation, heartbeat, version, state} = entry
   const liveness = {instance, incarnation, heartbeat: BigInt(heartbeat), version: BigInt(version)}
   if (!state) return create(MemberEntrySchema, {...liveness, brief: true})
-  const {address, dataCentre, status, failureShare} = state
+  const {address, dataCentre, status, failureShare, holderIncarnation} = state
   const documentNumber = BigInt(state.documentNumber)
   const claims = state.claims.map(claimToMessage)
   return create(MemberEntrySchema, {
@@ -118,11 +118,12 @@
     documentNumber,
     claims,
     failureShare,
+    holderIncarnation,
   })
 }
 
 function stateFromMessage(message: MemberEntryMessage): MemberState {
-  const {address, dataCentre, failureShare} = message
+  const {address, dataCentre, failureShare, holderIncarnation} = message
   const status = message.status === "leaving" ? "leaving" : "active"
   const documentNumber = Number(message.documentNumber)
   return {
@@ -131,6 +132,7 @@
     status,
     documentNumber,
     failureShare,
+    holderIncarnation,
     claims: message.claims.map(claimFromMessage),
   }
 }
--- a/src/platform/ports.ts
+++ b/src/platform/ports.ts
@@ -92,7 +92,9 @@
   readonly throttles: readonly string[]
   /** Ended attempts whose outcome has reached its home and need not be kept. */
   readonly acknowledged: readonly string[]
-  /** How long the worker may hold the call while nothing has ended. */
+  /** Number of the last end that the owner has seen; the report tells of later ones only. */
+  readonly endedAfter: number
+  /** How long the worker may hold the call while nothing new has ended. */
   readonly wait: Milliseconds
 }
 
@@ -109,7 +111,10 @@
   /** The highest epoch that the worker has seen. A report for a lower epoch carries out no orders. */
   readonly epoch: number
   readonly running: readonly RunningAttempt[]
+  /** Ends that the owner has not seen and that are not acknowledged. */
   readonly ended: readonly AttemptEnd[]
+  /** Number of the last end so far. */
+  readonly endedThrough: number
   readonly refused: readonly RefusedStart[]
   readonly leaving: boolean
 }
--- a/standins/workercore.ts
+++ b/standins/workercore.ts
@@ -39,6 +39,11 @@
   readonly close: () => void
 }
 
+interface NumberedEnd {
+  readonly number: number
+  readonly end: AttemptEnd
+}
+
 interface Running {
   readonly attempt: Attempt
   readonly startedAt: Milliseconds
@@ -77,9 +82,10 @@
   clockOffset: Milliseconds,
 ): WorkerCore {
   const running = new Map<string, Running>()
-  const ended = new Map<string, AttemptEnd>()
+  const ended = new Map<string, NumberedEnd>()
   const waiters = new Set<() => void>()
   let boots = 1
+  let ends = 0
   let epoch = 0
   let lastClock: Milliseconds = 0
   let failing = false
@@ -109,7 +115,8 @@
     const checkpoint = outcome === "checkpointed" ? `${name}@${doneBefore(before) + ranFor}` : ""
     const peakMemoryMebibytes = demand.memoryMebibytes * (entry.script.memory ?? 0.8)
     const worker = definition.name
-    ended.set(name, {
+    ends += 1
+    const result = {
       attempt: name,
       job,
       task,
@@ -120,7 +127,8 @@
       detail,
       ranFor,
       peakMemoryMebibytes,
-    })
+    }
+    ended.set(name, {number: ends, end: result})
     truth.taskEnded(name, worker, outcome, clock.now())
     wake()
   }
@@ -181,13 +189,27 @@
     })
   }
 
-  function report(refused: readonly RefusedStart[]): WorkerReport {
+  function endsAfter(number: number): readonly AttemptEnd[] {
+    return [...ended.values()].filter(entry => entry.number > number).map(entry => entry.end)
+  }
+
+  function report(refused: readonly RefusedStart[], endedAfter: number): WorkerReport {
     const boot = `${definition.name}/${boots}`
-    return {boot, clock: now(), epoch, running: reportRunning(), ended: [...ended.values()], refused, leaving}
+    const clockNow = now()
+    return {
+      boot,
+      clock: clockNow,
+      epoch,
+      running: reportRunning(),
+      ended: endsAfter(endedAfter),
+      endedThrough: ends,
+      refused,
+      leaving,
+    }
   }
 
-  function untilEnded(wait: Milliseconds): Promise<void> {
-    if (wait <= 0 || ended.size > 0) return Promise.resolve()
+  function untilEnded(wait: Milliseconds, endedAfter: number): Promise<void> {
+    if (wait <= 0 || endsAfter(endedAfter).length > 0) return Promise.resolve()
     return new Promise(resolve => {
       const finish = (): void => {
         cancel()
@@ -211,13 +233,13 @@
 
   return {
     async sync(request) {
-      if (request.epoch < epoch) return report([])
+      if (request.epoch < epoch) return report([], request.endedAfter)
       epoch = request.epoch
       const boot = `${definition.name}/${boots}`
       const obeys = request.boot === boot
       const refused = obeys ? carryOut(request, now()) : []
-      await untilEnded(request.wait)
-      return report(refused)
+      await untilEnded(request.wait, request.endedAfter)
+      return report(refused, request.endedAfter)
     },
     running: () => [...running.values()].map(entry => entry.attempt),
     used,
--- /dev/null
+++ b/test/failures/ownership.test.ts
@@ -0,0 +1,244 @@
+import test from "ava"
+import {readyCluster} from "../support/cluster.js"
+import type {Cluster} from "../support/cluster.js"
+
+const CAPACITY = {processors: 8, memoryMebibytes: 8192, accelerators: 2}
+const SMALL = {instances: 4, racks: 4, workersPerRack: 2, capacity: CAPACITY}
+const DEMAND = {processors: 1, memoryMebibytes: 512, accelerators: 0}
+
+function job(team: string, workload: string, tasks: number, run: number): object {
+  return {team, workload, tasks, demand: DEMAND, payload: JSON.stringify({run})}
+}
+
+const RAN = (count: number): string[] => Array.from({length: count}, () => "ran")
+
+function heldBy(cluster: Cluster): number {
+  return cluster.live().reduce((sum, node) => sum + node.core.ownership.held().size, 0)
+}
+
+async function untilEnded(cluster: Cluster, name: string, limit: number): Promise<string[]> {
+  for (let passed = 0; passed < limit; passed += 500) {
+    const body = await cluster.get(name)
+    if (body.state === "ended") return body.tasks.map(task => task.state)
+    await cluster.advance(500)
+  }
+  return (await cluster.get(name)).tasks.map(task => `${task.state} ${task.detail}`)
+}
+
+test("every group gets one holder, evenly", async t => {
+  const cluster = await readyCluster({...SMALL, seed: 1})
+  const counts = cluster.nodes.map(node => node.core.ownership.held().size)
+  t.is(
+    counts.reduce((sum, count) => sum + count, 0),
+    8,
+  )
+  t.true(Math.max(...counts) <= 3, counts.join(" "))
+  const accepted = await cluster.submit(job("red", "batch", 10, 1000))
+  t.is(accepted.status, 202)
+  t.deepEqual(await untilEnded(cluster, accepted.body.job, 20_000), RAN(10))
+  t.deepEqual(cluster.violations(), [])
+  cluster.close()
+})
+
+test("a killed holder's groups are taken over and its work goes on", async t => {
+  const cluster = await readyCluster({...SMALL, seed: 2})
+  const first = await cluster.submit(job("red", "batch", 12, 4000))
+  const second = await cluster.submit(job("blue", "once", 12, 4000))
+  await cluster.advance(1000)
+  const victim = cluster.nodes[1]
+  t.truthy(victim)
+  if (victim) cluster.kill(victim)
+  await cluster.advance(6000)
+  t.is(heldBy(cluster), 8)
+  t.deepEqual(await untilEnded(cluster, first.body.job, 40_000), RAN(12))
+  const once = await untilEnded(cluster, second.body.job, 40_000)
+  t.true(
+    once.every(state => state === "ran" || state === "unknown"),
+    once.join(" "),
+  )
+  t.deepEqual(cluster.violations(), [])
+  cluster.close()
+})
+
+test("a holder that is paused past its right starts nothing when it resumes in the middle of a grant", async t => {
+  const cluster = await readyCluster({...SMALL, seed: 3})
+  const accepted = await cluster.submit(job("green", "batch", 40, 3000))
+  let paused = ""
+  cluster.beforeSync = from => {
+    const node = cluster.nodes.find(candidate => candidate.name === from)
+    if (paused !== "" || !node || node === cluster.nodes[0]) return
+    paused = from
+    cluster.pause(node)
+  }
+  await cluster.advance(9000)
+  t.not(paused, "")
+  const node = cluster.nodes.find(candidate => candidate.name === paused)
+  t.is(heldBy(cluster), 8)
+  if (node) cluster.resume(node)
+  await cluster.advance(3000)
+  t.deepEqual(await untilEnded(cluster, accepted.body.job, 60_000), RAN(40))
+  t.true((node?.core.ownership.incarnation() ?? "") > "", "it goes on under a new incarnation")
+  t.deepEqual(cluster.violations(), [])
+  cluster.close()
+})
+
+test("writes that take effect while their replies are lost are settled by reading back", async t => {
+  const cluster = await readyCluster({...SMALL, seed: 4})
+  cluster.faults.lostReplies = 25
+  const accepted = await cluster.submit(job("red", "once", 6, 1000), "key-1")
+  const repeated = await cluster.submit(job("red", "once", 6, 1000), "key-1")
+  t.is(repeated.body.job, accepted.body.job)
+  const victim = cluster.nodes[2]
+  if (victim) cluster.kill(victim)
+  await cluster.advance(10_000)
+  t.is(heldBy(cluster), 8)
+  const states = await untilEnded(cluster, accepted.body.job, 60_000)
+  t.true(
+    states.every(state => state === "ran" || state === "unknown"),
+    states.join(" "),
+  )
+  t.deepEqual(cluster.violations(), [])
+  cluster.close()
+})
+
+test("work goes on through ten minutes without the store, and a death in the middle harms nothing", async t => {
+  const cluster = await readyCluster({...SMALL, instances: 5, seed: 5})
+  const jobs = [
+    await cluster.submit(job("red", "batch", 300, 12_000)),
+    await cluster.submit(job("blue", "batch", 300, 12_000)),
+  ]
+  await cluster.advance(1000)
+  cluster.faults.down = true
+  const before = cluster.truth.tasks().length
+  await cluster.advance(60_000)
+  const started = cluster.truth.tasks().length - before
+  t.true(started > 100, `${started} tasks were started in the first minute without the store`)
+  t.is(heldBy(cluster), 8)
+  const refused = await cluster.submit(job("green", "batch", 1, 100))
+  t.is(refused.status, 503)
+  t.is(refused.body.execution, "not-run")
+  const victim = cluster.nodes[4]
+  if (victim) cluster.kill(victim)
+  await cluster.advance(540_000)
+  cluster.faults.down = false
+  await cluster.advance(12_000)
+  t.is(heldBy(cluster), 8)
+  for (const accepted of jobs) t.deepEqual(await untilEnded(cluster, accepted.body.job, 120_000), RAN(300))
+  t.deepEqual(cluster.violations(), [])
+  cluster.close()
+})
+
+test("a store at fifty times its latency slows acceptance and nothing else", async t => {
+  const cluster = await readyCluster({...SMALL, seed: 6})
+  cluster.faults.latency = 250
+  const accepted = await cluster.submit(job("red", "batch", 20, 1000))
+  t.is(accepted.status, 202)
+  t.deepEqual(await untilEnded(cluster, accepted.body.job, 30_000), RAN(20))
+  const victim = cluster.nodes[3]
+  if (victim) cluster.kill(victim)
+  await cluster.advance(10_000)
+  t.is(heldBy(cluster), 8)
+  t.deepEqual(cluster.violations(), [])
+  cluster.close()
+})
+
+test("a list that lags a minute delays nothing that instances tell each other", async t => {
+  const cluster = await readyCluster({...SMALL, seed: 7})
+  cluster.list.setLag(60_000)
+  const victim = cluster.nodes[0]
+  if (victim) cluster.kill(victim)
+  const accepted = await cluster.submit(job("blue", "batch", 10, 1000))
+  await cluster.advance(8000)
+  t.is(heldBy(cluster), 8)
+  t.deepEqual(await untilEnded(cluster, accepted.body.job, 30_000), RAN(10))
+  t.deepEqual(cluster.violations(), [])
+  cluster.close()
+})
+
+test("half the instances cut from the rest and from the store never hold a group beside the others", async t => {
+  const cluster = await readyCluster({...SMALL, instances: 6, seed: 8})
+  const accepted = [
+    await cluster.submit(job("red", "batch", 60, 4000)),
+    await cluster.submit(job("green", "once", 20, 4000)),
+  ]
+  const near = cluster.nodes.slice(0, 3)
+  const far = cluster.nodes.slice(3)
+  for (const one of near) for (const other of far) cluster.cuts.add([one.name, other.name].sort().join("|"))
+  for (const node of far) cluster.faults.cutOff.add(node.name)
+  await cluster.advance(30_000)
+  t.deepEqual(cluster.violations(), [])
+  cluster.cuts.clear()
+  cluster.faults.cutOff.clear()
+  await cluster.advance(15_000)
+  t.is(heldBy(cluster), 8)
+  t.deepEqual(await untilEnded(cluster, accepted[0]?.body.job ?? "", 90_000), RAN(60))
+  const once = await untilEnded(cluster, accepted[1]?.body.job ?? "", 90_000)
+  t.true(
+    once.every(state => state === "ran" || state === "unknown"),
+    once.join(" "),
+  )
+  t.deepEqual(cluster.violations(), [])
+  cluster.close()
+})
+
+test("a worker that answers nobody is given nothing, and its tasks start elsewhere only after their leases", async t => {
+  const cluster = await readyCluster({...SMALL, seed: 9})
+  const accepted = await cluster.submit(job("red", "batch", 30, 20_000))
+  await cluster.advance(2000)
+  const [silent] = cluster.truth.tasks().map(run => run.worker)
+  t.truthy(silent)
+  cluster.silentWorkers.add(silent ?? "")
+  await cluster.advance(12_000)
+  const lapsed = cluster.truth.tasks().filter(run => run.worker === silent)
+  t.true(
+    lapsed.every(run => run.endedAt !== undefined),
+    "the worker ended what it ran when the leases lapsed",
+  )
+  t.deepEqual(await untilEnded(cluster, accepted.body.job, 90_000), RAN(30))
+  t.deepEqual(cluster.violations(), [])
+  cluster.close()
+})
+
+test("two faults at once: an owner and a home die while a worker restarts", async t => {
+  const cluster = await readyCluster({...SMALL, instances: 6, seed: 10})
+  const accepted = [
+    await cluster.submit(job("red", "batch", 40, 3000)),
+    await cluster.submit(job("blue", "once", 10, 3000)),
+  ]
+  await cluster.advance(1500)
+  for (const node of cluster.nodes.slice(1, 3)) cluster.kill(node)
+  cluster.workers.get("worker-1-1")?.crash()
+  await cluster.advance(12_000)
+  t.is(heldBy(cluster), 8)
+  t.deepEqual(await untilEnded(cluster, accepted[0]?.body.job ?? "", 90_000), RAN(40))
+  const once = await untilEnded(cluster, accepted[1]?.body.job ?? "", 90_000)
+  t.true(
+    once.every(state => state === "ran" || state === "unknown"),
+    once.join(" "),
+  )
+  t.deepEqual(cluster.violations(), [])
+  cluster.close()
+})
+
+test("everything restarts at once with nothing in memory", async t => {
+  const cluster = await readyCluster({...SMALL, seed: 11})
+  const accepted = [
+    await cluster.submit(job("red", "batch", 30, 6000)),
+    await cluster.submit(job("blue", "once", 8, 6000)),
+  ]
+  await cluster.advance(2000)
+  const names = cluster.nodes.map(node => node.name)
+  for (const node of [...cluster.nodes]) cluster.kill(node)
+  await cluster.advance(1000)
+  for (const name of names) await cluster.start(name)
+  await cluster.advance(15_000)
+  t.is(heldBy(cluster), 8)
+  t.deepEqual(await untilEnded(cluster, accepted[0]?.body.job ?? "", 90_000), RAN(30))
+  const once = await untilEnded(cluster, accepted[1]?.body.job ?? "", 90_000)
+  t.true(
+    once.every(state => state === "ran" || state === "unknown"),
+    once.join(" "),
+  )
+  t.deepEqual(cluster.violations(), [])
+  cluster.close()
+})
