An instance names a successor before it claims, and names only those that answer

Cause: an instance killed within seconds of its start had named no successor, so its groups stayed orphaned for the whole grace; and a holder whose successor had died named it again as long as gossip still called it alive, and could not act. A retry that found idle slots only at servers it had tried waited for its deadline.

--- a/src/controllers/backendclient.ts
+++ b/src/controllers/backendclient.ts
@@ -32,6 +32,8 @@
   readonly send: (slot: Slot, request: BackendRequest) => Promise<BackendOutcome>
   /** Ends the connection of a slot. */
   readonly drop: (slot: Slot) => void
+  /** Ends every connection that carries no request: what silenced one may have silenced others. */
+  readonly dropIdle: () => void
   readonly connections: () => number
   readonly close: () => Promise<void>
 }
@@ -39,28 +41,34 @@
 const CONNECT_TIMEOUT_MS: Milliseconds = 1000
 const KEEP_ALIVE_MS: Milliseconds = 4000
 
+interface SlotConnection {
+  readonly client: Client
+  busy: boolean
+}
+
 /** Creates the client of one entry instance. */
 export function backendClient(): BackendClient {
-  const clients = new Map<string, Client>()
+  const clients = new Map<string, SlotConnection>()
 
-  function clientFor(slot: Slot): Client {
+  function connectionFor(slot: Slot): SlotConnection {
     const known = clients.get(slot.id)
-    if (known && !known.destroyed && !known.closed) return known
-    const fresh = new Client(`http://${slot.address}`, {
+    if (known && !known.client.destroyed && !known.client.closed) return known
+    const client = new Client(`http://${slot.address}`, {
       connect: {timeout: CONNECT_TIMEOUT_MS},
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
     })
+    const fresh = {client, busy: false}
     clients.set(slot.id, fresh)
     return fresh
   }
 
   function drop(slot: Slot): void {
-    const client = clients.get(slot.id)
+    const known = clients.get(slot.id)
     clients.delete(slot.id)
-    if (client) void client.destroy().catch(() => undefined)
+    if (known) void known.client.destroy().catch(() => undefined)
   }
 
   return {
@@ -68,9 +76,10 @@
       let sent = false
       try {
         const {method, path, headers, body, signal} = request
-        const client = clientFor(slot)
+        const connection = connectionFor(slot)
+        connection.busy = true
         sent = true
-        const reply = await client.request({
+        const reply = await connection.client.request({
           method: method,
           path,
           headers: headers as Record<string, string>,
@@ -87,11 +96,18 @@
       }
     },
     drop,
+    dropIdle() {
+      for (const [id, connection] of clients) {
+        if (connection.busy) continue
+        clients.delete(id)
+        void connection.client.destroy().catch(() => undefined)
+      }
+    },
     connections: () => clients.size,
     async close() {
       const open = [...clients.values()]
       clients.clear()
-      await Promise.allSettled(open.map(client => client.destroy()))
+      await Promise.allSettled(open.map(connection => connection.client.destroy()))
     },
   }
 }
--- a/src/controllers/leasekeeper.ts
+++ b/src/controllers/leasekeeper.ts
@@ -45,6 +45,7 @@
 /** Silence of a successor after which another one is named in its place. */
 const REPLACE_SUCCESSOR_AFTER_MS: Milliseconds = PROMISE_TERM_MS * 0.45
 const TICK_MS: Milliseconds = 100
+const FORGET_SILENCE_AFTER_MS: Milliseconds = 5000
 const RELEASE_ATTEMPTS = 5
 
 function sameNames(one: readonly string[], other: readonly string[]): boolean {
@@ -56,8 +57,8 @@
   const {clock, store, network, log} = ports
   const key = instanceKey(self.instance)
   const heardAt = new Map<string, Milliseconds>()
-  /** Successor name to the instant since which it has been asked. */
-  const asking = new Map<string, Milliseconds>()
+  /** Instance name to the instant of the first request for a promise that it has not answered. */
+  const unansweredSince = new Map<string, Milliseconds>()
   let lease: Lease = NO_LEASE
   let stopped = false
   let writing = false
@@ -75,15 +76,22 @@
     ports.onEnded(cause)
   }
 
-  function silentSuccessors(): ReadonlySet<string> {
+  /** Instances that were asked for a promise and have not answered for too long. */
+  function silentInstances(): ReadonlySet<string> {
     const limit = clock.now() - REPLACE_SUCCESSOR_AFTER_MS
-    return new Set(
-      [...asking].filter(([name, since]) => (heardAt.get(name) ?? since) < limit).map(([name]) => name),
-    )
+    return new Set([...unansweredSince].filter(([, since]) => since < limit).map(([name]) => name))
+  }
+
+  function candidates(): readonly string[] {
+    return ports.wantedSuccessors(possibleSuccessors(lease), silentInstances())
   }
 
+  /** Successors to name now: a new one is named only after it has answered. */
   function wantedSuccessors(): readonly string[] {
-    return ports.wantedSuccessors(possibleSuccessors(lease), silentSuccessors())
+    const limit = clock.now() - REPLACE_SUCCESSOR_AFTER_MS
+    return candidates().filter(
+      name => lease.successors.includes(name) || (heardAt.get(name) ?? limit) > limit,
+    )
   }
 
   function recordOf(successors: readonly string[], state: InstanceState): InstanceRecord {
@@ -143,17 +151,19 @@
     const reply = await callPeer(network, successor, peer => peer.promise(request))
     if (reply.isErr() || lease.ended) return
     heardAt.set(successor, clock.now())
+    unansweredSince.delete(successor)
     if (reply.value.granted) apply({type: "promised", successor, askedAt: sentAt, term: reply.value.term})
     else apply({type: "promise-refused", successor})
   }
 
   function askPromises(atOnce: boolean): void {
-    if (!atOnce && clock.now() < askedAt + PROMISE_INTERVAL_MS) return
-    askedAt = clock.now()
-    const asked = new Set([...possibleSuccessors(lease), ...wantedSuccessors()])
-    for (const name of [...asking.keys()]) if (!asked.has(name)) asking.delete(name)
-    for (const successor of asked) {
-      if (!asking.has(successor)) asking.set(successor, clock.now())
+    const now = clock.now()
+    if (!atOnce && now < askedAt + PROMISE_INTERVAL_MS) return
+    askedAt = now
+    for (const [name, since] of unansweredSince)
+      if (since < now - FORGET_SILENCE_AFTER_MS) unansweredSince.delete(name)
+    for (const successor of new Set([...possibleSuccessors(lease), ...candidates()])) {
+      if (!unansweredSince.has(successor)) unansweredSince.set(successor, now)
       void askPromise(successor)
     }
   }
--- a/src/controllers/ownership.ts
+++ b/src/controllers/ownership.ts
@@ -64,6 +64,8 @@
   readonly held: () => ReadonlyMap<string, number>
   readonly view: () => OwnershipView
   readonly incarnation: () => string
+  /** Instances that may fence this one early. */
+  readonly successors: () => readonly string[]
   readonly handlePromise: (holder: string, incarnation: string) => Milliseconds
   /** Reads the records again, because a peer has handed a group over. */
   readonly refresh: () => Promise<void>
@@ -233,8 +235,13 @@
     return clock.now() < startedAt + JOINING_MS && ports.members().length < ports.listedPeers() + 1
   }
 
+  /** Without a successor its groups would stay orphaned for the whole grace after its death. */
+  function lacksSuccessor(): boolean {
+    return ports.successors > 0 && keeper.lease().successors.length === 0 && eligible().length > 1
+  }
+
   function claimOrphans(): void {
-    if (leaving || !keeper.mayAct() || isJoining()) return
+    if (leaving || !keeper.mayAct() || isJoining() || lacksSuccessor()) return
     let pending = 0
     for (const group of ports.groups()) {
       const known = view.groups.get(group)
@@ -346,6 +353,7 @@
     held: () => held,
     view: () => view,
     incarnation: () => self.incarnation,
+    successors: () => keeper.lease().successors,
     handlePromise: (holder, incarnation) => guard.promise(holder, incarnation, view),
     refresh: readAll,
     release,
--- a/src/controllers/requestrouter.ts
+++ b/src/controllers/requestrouter.ts
@@ -126,7 +126,8 @@
     if (idle.length === 0) return undefined
     const out = putOutServers(healths, [...new Set(idle.map(slot => slot.server))], clock.now())
     const good = idle.filter(slot => !out.has(slot.server) && !request.avoid.has(slot.server))
-    const usable = good.length > 0 ? good : idle.filter(slot => !request.avoid.has(slot.server))
+    const untried = idle.filter(slot => !request.avoid.has(slot.server))
+    const usable = [good, untried, idle].find(slots => slots.length > 0) ?? []
     return usable.reduce<Slot | undefined>(
       (best, slot) => (best && serverCost(best) <= serverCost(slot) ? best : slot),
       undefined,
--- a/src/core/virtualclock.ts
+++ b/src/core/virtualclock.ts
@@ -29,12 +29,12 @@
 
 /** A binary heap with the earliest timer at its root. */
 function timerHeap() {
-  const heap: Timer[] = []
+  const slots: Timer[] = []
 
-  function swap(one: number, other: number): void {
-    const timer = heap[one] as Timer
-    heap[one] = heap[other] as Timer
-    heap[other] = timer
+  function at(index: number): Timer {
+    const timer = slots[index]
+    if (!timer) throw new RangeError(`The heap has no timer at ${index}.`)
+    return timer
   }
 
   function sinkRoot(): void {
@@ -42,31 +42,33 @@
     for (;;) {
       const left = 2 * index + 1
       let least = index
-      for (const child of [left, left + 1]) {
-        if (child < heap.length && comesBefore(heap[child] as Timer, heap[least] as Timer)) least = child
-      }
+      for (const child of [left, left + 1])
+        if (child < slots.length && comesBefore(at(child), at(least))) least = child
       if (least === index) return
-      swap(index, least)
+      const timer = at(index)
+      slots[index] = at(least)
+      slots[least] = timer
       index = least
     }
   }
 
   return {
     push(timer: Timer): void {
-      heap.push(timer)
-      let index = heap.length - 1
+      slots.push(timer)
+      let index = slots.length - 1
       while (index > 0) {
         const parent = (index - 1) >> 1
-        if (!comesBefore(heap[index] as Timer, heap[parent] as Timer)) return
-        swap(index, parent)
+        if (!comesBefore(at(index), at(parent))) return
+        slots[index] = at(parent)
+        slots[parent] = timer
         index = parent
       }
     },
-    peek: (): Timer | undefined => heap[0],
+    peek: (): Timer | undefined => slots[0],
     pop(): void {
-      const last = heap.pop()
-      if (!last || heap.length === 0) return
-      heap[0] = last
+      const last = slots.pop()
+      if (!last || slots.length === 0) return
+      slots[0] = last
       sinkRoot()
     },
   }
--- a/src/entry/describe.ts
+++ b/src/entry/describe.ts
@@ -126,6 +126,7 @@
     incarnation: ownership.incarnation(),
     mayAct: ownership.mayAct(),
     reasonNotToAct: ownership.reasonNotToAct() ?? "",
+    successors: ownership.successors(),
     leaving,
     documentNumber: current?.number ?? 0,
     documentDigest: current?.digest ?? "",
--- a/src/entry/status.ts
+++ b/src/entry/status.ts
@@ -62,6 +62,8 @@
   readonly incarnation: string
   readonly mayAct: boolean
   readonly reasonNotToAct: string
+  /** Instances that may take over early when this one dies. */
+  readonly successors: readonly string[]
   readonly leaving: boolean
   readonly documentNumber: number
   readonly documentDigest: string
--- a/src/filters/forward.ts
+++ b/src/filters/forward.ts
@@ -174,6 +174,7 @@
       return {type: "not-run", detail: outcome.detail}
     }
     router.leftInDoubt(slot, reason === undefined)
+    if (reason === "silent") ports.client.dropIdle()
     if (reason === "gone") {
       exchange.execution = "unknown"
       return {type: "settled"}
--- a/standins/trial.ts
+++ b/standins/trial.ts
@@ -217,8 +217,9 @@
     )
     const racks = new Set(hosts.listed.map(entry => `${entry.pool}.${entry.rack}`))
     const documents = new Set(statuses.map(status => status.documentNumber))
+    const others = Math.min(1, entries.size - 1)
     return (
-      statuses.every(status => status.mayAct) &&
+      statuses.every(status => status.mayAct && status.successors.length >= others) &&
       workerGroups.size === racks.size &&
       jobGroups.size === 16 &&
       documents.size === 1
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -1,6 +1,6 @@
 /** Entry instances over the platform's stand-ins under a virtual clock, with faults, for tests of failures. */
 import {err, ok} from "neverthrow"
-import {sleep} from "../../src/core/clock.js"
+import {sleep, withTimeout} from "../../src/core/clock.js"
 import type {Clock, Milliseconds} from "../../src/core/clock.js"
 import {CallFailed} from "../../src/core/errors.js"
 import {seededRandom} from "../../src/core/random.js"
@@ -86,6 +86,7 @@
 const STEP_MS: Milliseconds = 100
 const PEER_LATENCY_MS: Milliseconds = 1
 const CUT_TIMEOUT_MS: Milliseconds = 1000
+const PEER_TIMEOUT_MS: Milliseconds = 4000
 const CALL_LIMIT_MS: Milliseconds = 60_000
 
 export const TEST_DOCUMENT = `[environment]
@@ -264,6 +265,10 @@
     },
   }
 
+  function isDead(node: Node): boolean {
+    return node.dead
+  }
+
   async function timeOut(): Promise<never> {
     await sleep(clock, CUT_TIMEOUT_MS)
     throw new RangeError("The call timed out.")
@@ -271,20 +276,25 @@
 
   function linkTo(from: string, gate: Gate, target: string): PeerApi {
     const invoke = async (method: keyof PeerApi, request: unknown): Promise<unknown> => {
+      const late = Symbol("late")
+      const reply = await withTimeout(clock, deliver(method, request), PEER_TIMEOUT_MS, late)
+      await gate.pass()
+      if (reply === late) throw new RangeError("The call timed out.")
+      return reply
+    }
+    const deliver = async (method: keyof PeerApi, request: unknown): Promise<unknown> => {
       await sleep(clock, PEER_LATENCY_MS)
       const node = nodes.find(candidate => candidate.name === target && !candidate.dead)
       if (!node) throw Object.assign(new RangeError("refused"), {cause: {code: "ECONNREFUSED"}})
       if (cuts.has(pairOf(from, target))) return timeOut()
       await node.gate.pass()
-      if (node.dead) return timeOut()
+      if (isDead(node)) return timeOut()
       const run = node.core.handlers[method] as (message: unknown) => Promise<unknown>
       const reply = await run(request)
-      if (cuts.has(pairOf(from, target)) || node.dead) return timeOut()
-      await gate.pass()
-      return reply
+      return cuts.has(pairOf(from, target)) || isDead(node) ? timeOut() : reply
     }
     const entries = PEER_METHODS.map(method => [method, (request: unknown) => invoke(method, request)])
-    return Object.fromEntries(entries) as unknown as PeerApi
+    return Object.fromEntries(entries)
   }
 
   function gatewayFor(from: string, gate: Gate): WorkerGateway {
