--- /dev/null
+++ b/src/cli/documents.ts
@@ -0,0 +1,193 @@
+/** The commands on configuration documents: check, diff, try, promote, history. */
+import {randomUUID} from "node:crypto"
+import {readFileSync} from "node:fs"
+import {err, ok} from "neverthrow"
+import type {Result} from "neverthrow"
+import {describeError} from "../core/errors.js"
+import {formatFinding} from "../core/finding.js"
+import {diffDocuments, formatChange} from "../document/diff.js"
+import type {KeyChange} from "../document/diff.js"
+import {documentDigest} from "../document/digest.js"
+import {readDocument} from "../document/read.js"
+import type {ApiClient} from "./client.js"
+import {EXIT} from "./exitcodes.js"
+import type {ExitCode} from "./exitcodes.js"
+import {exitCodeFor, printProblem} from "./output.js"
+import type {Output} from "./output.js"
+
+export interface DocumentOptions {
+  readonly json: boolean
+}
+
+function readFile(file: string): Result<string, string> {
+  try {
+    return ok(readFileSync(file, "utf8"))
+  } catch (error) {
+    return err(`${file}: the file cannot be read: ${describeError(error)}.`)
+  }
+}
+
+/** `check DOCUMENT`: every finding of a document, or its digest. */
+export function checkDocument(file: string, options: DocumentOptions, output: Output): ExitCode {
+  const content = readFile(file)
+  if (content.isErr()) {
+    output.error(content.error)
+    return EXIT.invalid
+  }
+  const read = readDocument(file, content.value)
+  const findings = read.isErr() ? read.error : []
+  const digest = documentDigest(content.value)
+  if (options.json) output.line(JSON.stringify({file, digest, findings}))
+  else if (findings.length > 0) for (const finding of findings) output.error(formatFinding(finding))
+  else output.line(`${file}: no findings, digest ${digest}`)
+  return findings.length > 0 ? EXIT.invalid : EXIT.ok
+}
+
+/** `diff BEFORE AFTER`: the keys that differ between two documents. */
+export function diffFiles(before: string, after: string, options: DocumentOptions, output: Output): ExitCode {
+  const one = readFile(before)
+  const other = readFile(after)
+  if (one.isErr() || other.isErr()) {
+    for (const read of [one, other]) if (read.isErr()) output.error(read.error)
+    return EXIT.invalid
+  }
+  const changes = diffDocuments(one.value, other.value)
+  if (options.json) output.line(JSON.stringify({changes}))
+  else if (changes.length === 0) output.line("no differences")
+  else for (const change of changes) output.line(formatChange(change))
+  return EXIT.ok
+}
+
+/** `try DOCUMENT`: what the document would change in the running environment. Changes nothing. */
+export async function tryDocument(
+  file: string,
+  client: ApiClient,
+  options: DocumentOptions,
+  output: Output,
+): Promise<ExitCode> {
+  const content = readFile(file)
+  if (content.isErr()) {
+    output.error(content.error)
+    return EXIT.invalid
+  }
+  const reply = await client.call("POST", "/documents/trial", {text: content.value})
+  if (reply.isErr()) {
+    output.error(reply.error.message)
+    return EXIT.unreachable
+  }
+  if (reply.value.status >= 400) {
+    printProblem(output, reply.value)
+    return exitCodeFor(reply.value)
+  }
+  const {changes, effects} = reply.value.body as {
+    readonly changes: readonly KeyChange[]
+    readonly effects: readonly string[]
+  }
+  if (options.json) output.line(JSON.stringify(reply.value.body))
+  else {
+    for (const change of changes) output.line(formatChange(change))
+    for (const effect of effects) output.line(`! ${effect}`)
+    if (changes.length === 0) output.line("no differences")
+  }
+  return EXIT.ok
+}
+
+export interface PromoteOptions extends DocumentOptions {
+  readonly operator: string
+  /** Number of the document that the operator looked at; the current one when absent. */
+  readonly base?: number
+}
+
+interface HistoryEntry {
+  readonly number: number
+  readonly digest: string
+  readonly acceptedBy: string
+  readonly acceptedAt: string
+  readonly changes: readonly KeyChange[]
+}
+
+async function readHistory(client: ApiClient): Promise<Result<readonly HistoryEntry[], string>> {
+  const reply = await client.call("GET", "/documents")
+  if (reply.isErr()) return err(reply.error.message)
+  if (reply.value.status >= 400) return err(String(reply.value.body.detail))
+  return ok((reply.value.body as {readonly documents: readonly HistoryEntry[]}).documents)
+}
+
+/** True when the trial environment has accepted the very same document. */
+export async function wasAcceptedInTrial(
+  trial: ApiClient,
+  content: string,
+): Promise<Result<boolean, string>> {
+  const history = await readHistory(trial)
+  const digest = documentDigest(content)
+  return history.map(documents => documents.some(document => document.digest === digest))
+}
+
+async function currentNumber(client: ApiClient): Promise<number> {
+  const reply = await client.call("GET", "/documents/current")
+  return reply.isOk() && typeof reply.value.body.number === "number" ? reply.value.body.number : 0
+}
+
+/** `promote DOCUMENT`: proposes the document. `trial` is the environment where it must have been accepted before. */
+export async function promoteDocument(
+  file: string,
+  client: ApiClient,
+  trial: ApiClient | undefined,
+  options: PromoteOptions,
+  output: Output,
+): Promise<ExitCode> {
+  const content = readFile(file)
+  if (content.isErr()) {
+    output.error(content.error)
+    return EXIT.invalid
+  }
+  if (trial) {
+    const tried = await wasAcceptedInTrial(trial, content.value)
+    if (tried.isErr()) {
+      output.error(`The trial environment cannot be asked: ${tried.error}`)
+      return EXIT.unreachable
+    }
+    if (!tried.value) {
+      output.error("The trial environment has not accepted this document: promote it there first.")
+      return EXIT.refused
+    }
+  }
+  const baseNumber = options.base ?? (await currentNumber(client))
+  const proposal = {text: content.value, baseNumber, operator: options.operator, proposal: randomUUID()}
+  const reply = await client.call("POST", "/documents", proposal)
+  if (reply.isErr()) {
+    output.error(reply.error.message)
+    return reply.error.certainty === "unknown" ? EXIT.unknown : EXIT.unreachable
+  }
+  if (reply.value.status >= 400) {
+    printProblem(output, reply.value)
+    return exitCodeFor(reply.value)
+  }
+  const accepted = reply.value.body.accepted as HistoryEntry
+  if (options.json) output.line(JSON.stringify(accepted))
+  else output.line(`accepted as document ${accepted.number}, digest ${accepted.digest}`)
+  return EXIT.ok
+}
+
+/** `history`: who changed what. */
+export async function printHistory(
+  client: ApiClient,
+  options: DocumentOptions,
+  output: Output,
+): Promise<ExitCode> {
+  const history = await readHistory(client)
+  if (history.isErr()) {
+    output.error(history.error)
+    return EXIT.unreachable
+  }
+  if (options.json) output.line(JSON.stringify(history.value))
+  else {
+    for (const {number, acceptedAt, acceptedBy, digest, changes} of history.value) {
+      output.line(
+        `${number}  ${acceptedAt}  ${acceptedBy}  ${digest.slice(0, 12)}  ${changes.length} changes`,
+      )
+      if (number > 1) for (const change of changes) output.line(`    ${formatChange(change)}`)
+    }
+  }
+  return EXIT.ok
+}
--- a/src/controllers/backendclient.ts
+++ b/src/controllers/backendclient.ts
@@ -30,6 +30,8 @@
 
 export interface BackendClient {
   readonly send: (slot: Slot, request: BackendRequest) => Promise<BackendOutcome>
+  /** The answer on the slot was read to its end, or given up. */
+  readonly finished: (slot: Slot) => void
   /** Ends the connection of a slot. */
   readonly drop: (slot: Slot) => void
   /** Ends every connection that carries no request: what silenced one may have silenced others. */
@@ -95,6 +97,10 @@
         return {type: "failed", sent: sent && !neverSent(error), detail: describeError(error)}
       }
     },
+    finished(slot) {
+      const known = clients.get(slot.id)
+      if (known) known.busy = false
+    },
     drop,
     dropIdle() {
       for (const [id, connection] of clients) {
--- a/src/filters/forward.ts
+++ b/src/filters/forward.ts
@@ -199,6 +199,7 @@
       return await deliver(exchange, router, routed, slot, outcome.answer, guard, sentAt)
     } finally {
       guard.dispose()
+      ports.client.finished(slot)
     }
   }
 
--- a/standins/trial.ts
+++ b/standins/trial.ts
@@ -71,7 +71,7 @@
 `
 }
 
-interface Hosts {
+export interface Hosts {
   readonly workers: Map<string, WorkerServer>
   readonly backends: Map<string, BackendServer>
   readonly listed: ListedInstance[]
@@ -112,7 +112,8 @@
   }
 }
 
-function entryLine(name: string, dataCentre: string, address: string): ListedInstance {
+/** The line of an entry instance in the instance list. */
+export function entryLine(name: string, dataCentre: string, address: string): ListedInstance {
   const capacity = {processors: 0, memoryMebibytes: 0, accelerators: 0}
   return {
     name,
@@ -128,6 +129,13 @@
   }
 }
 
+/** Starts the workers and backend servers of every pool. */
+export async function startPools(deployment: Deployment, clock: Clock, truth: Truth): Promise<Hosts> {
+  const hosts: Hosts = {workers: new Map(), backends: new Map(), listed: []}
+  for (const pool of deployment.pools) await startPool(deployment, pool, clock, truth, hosts)
+  return hosts
+}
+
 /** Starts the stand-ins. Entry instances are started by the caller. */
 export async function startTrial(
   deployment: Deployment,
@@ -140,8 +148,7 @@
   const list = instanceListCore(clock, LIST_LAG_MS)
   const listServer: JsonServer = await serveInstanceList(list)
   const balancer = await serveBalancer(clock)
-  const hosts: Hosts = {workers: new Map(), backends: new Map(), listed: []}
-  for (const pool of deployment.pools) await startPool(deployment, pool, clock, truth, hosts)
+  const hosts = await startPools(deployment, clock, truth)
   for (const entry of hosts.listed) list.put(entry)
   list.settle()
   const entries = new Map<string, EntryInstance>()
