A successor promises only on a record that no fencing write can still replace

Ruled out: a fault of the model; the code had the same gap between the reply to the fencing write and the next reading of the record.

A successor now promises only on a version newer than any it tried to fence, and after a restart only on one newer than it read first or that does not name it; a refused holder renews at once.

--- a/src/controllers/fencer.ts
+++ b/src/controllers/fencer.ts
@@ -30,6 +30,8 @@
 export interface Fencer {
   /** Answers a holder: the term for which it will not be fenced, or 0. */
   readonly promise: (holder: string, incarnation: string, view: OwnershipView) => Milliseconds
+  /** Notes which versions of the records were seen. Call it for every view, before promises are given on it. */
+  readonly noteView: (view: OwnershipView) => void
   /** Fences what may be fenced. */
   readonly sweep: (view: OwnershipView) => void
 }
@@ -76,6 +78,12 @@
     return mayFenceAfterGrace(promises, holder, now)
   }
 
+  function noteView(view: OwnershipView): void {
+    for (const [holder, known] of view.instances) {
+      apply({type: "record-seen", holder, version: known.version, at: clock.now()})
+    }
+  }
+
   const busy = new Set<string>()
 
   function once(holder: string, work: () => Promise<void>): void {
@@ -86,16 +94,18 @@
 
   return {
     promise(holder, incarnation, view) {
-      const known = view.instances.get(holder)?.record
-      const gone = known?.incarnation === incarnation && known.state !== "active"
-      if (gone || !mayPromise(promises, holder)) return 0
+      const known = view.instances.get(holder)
+      if (known?.record.incarnation !== incarnation) return 0
+      const {record, version} = known
+      const read = {version, active: record.state === "active", namesSelf: record.successors.includes(self)}
+      if (!mayPromise(promises, holder, read)) return 0
       apply({type: "promise-given", holder, at: clock.now()})
       return PROMISE_TERM_MS
     },
+    noteView,
     sweep(view) {
       for (const [holder, known] of view.instances) {
         if (holder === self) continue
-        apply({type: "record-seen", holder, version: known.version, at: clock.now()})
         if (promises.fencing.has(holder)) {
           once(holder, () => settle(holder))
           continue
--- a/src/controllers/leasekeeper.ts
+++ b/src/controllers/leasekeeper.ts
@@ -45,6 +45,7 @@
 /** Silence of a successor after which another one is named in its place. */
 const REPLACE_SUCCESSOR_AFTER_MS: Milliseconds = PROMISE_TERM_MS * 0.45
 const TICK_MS: Milliseconds = 100
+const RENEWAL_AFTER_REFUSAL_MS: Milliseconds = 500
 const FORGET_SILENCE_AFTER_MS: Milliseconds = 5000
 const RELEASE_ATTEMPTS = 5
 
@@ -63,6 +64,7 @@
   let stopped = false
   let writing = false
   let askedAt: Milliseconds = Number.NEGATIVE_INFINITY
+  let refusedAt: Milliseconds = Number.NEGATIVE_INFINITY
 
   function apply(step: LeaseStep): void {
     lease = applyLeaseStep(lease, step)
@@ -136,7 +138,9 @@
   async function keepRecord(): Promise<void> {
     if (writing || stopped) return
     const wanted = wantedSuccessors()
-    const due = clock.now() >= lease.renewedAt + RENEWAL_INTERVAL_MS
+    // A successor that has restarted promises only on a version that is new to it.
+    const refused = refusedAt > lease.renewedAt && clock.now() >= lease.renewedAt + RENEWAL_AFTER_REFUSAL_MS
+    const due = refused || clock.now() >= lease.renewedAt + RENEWAL_INTERVAL_MS
     if (!due && !lease.pending && sameNames(wanted, lease.successors)) return
     writing = true
     askPromises(true)
@@ -153,7 +157,10 @@
     heardAt.set(successor, clock.now())
     unansweredSince.delete(successor)
     if (reply.value.granted) apply({type: "promised", successor, askedAt: sentAt, term: reply.value.term})
-    else apply({type: "promise-refused", successor})
+    else {
+      apply({type: "promise-refused", successor})
+      refusedAt = clock.now()
+    }
   }
 
   function askPromises(atOnce: boolean): void {
--- a/src/controllers/ownership.ts
+++ b/src/controllers/ownership.ts
@@ -166,6 +166,7 @@
 
   function absorb(values: readonly StoredValue[]): void {
     view = mergeStored(view, values)
+    guard.noteView(view)
     noticeOwnGroups()
   }
 
--- a/src/ownership/promises.ts
+++ b/src/ownership/promises.ts
@@ -19,13 +19,25 @@
   /** Holder name to the instant until which it must not be fenced. */
   readonly until: ReadonlyMap<string, Milliseconds>
   readonly fencing: ReadonlyMap<string, FencingAttempt>
-  /** Holder name to the version last seen of its record and the instant when it was first seen. */
+  /** Holder name to the version of its record that this incarnation tried to fence last. */
+  readonly tried: ReadonlyMap<string, number>
+  /** Holder name to what was seen of its record. */
   readonly seen: ReadonlyMap<string, SeenVersion>
 }
 
 export interface SeenVersion {
+  /** The version that this incarnation saw first. */
+  readonly firstVersion: number
+  /** The version seen last, and the instant when it was new. */
   readonly version: number
-  readonly firstSeenAt: Milliseconds
+  readonly newSince: Milliseconds
+}
+
+/** The holder's record as the successor has read it. */
+export interface ReadRecord {
+  readonly version: number
+  readonly active: boolean
+  readonly namesSelf: boolean
 }
 
 export type PromiseStep =
@@ -40,7 +52,7 @@
     }
 
 export function noPromises(startedAt: Milliseconds): Promises {
-  return {startedAt, until: new Map(), fencing: new Map(), seen: new Map()}
+  return {startedAt, until: new Map(), fencing: new Map(), tried: new Map(), seen: new Map()}
 }
 
 function withEntry<V>(map: ReadonlyMap<string, V>, key: string, value: V): ReadonlyMap<string, V> {
@@ -68,21 +80,33 @@
       }
     }
     case "fencing-begun":
-      return {...promises, fencing: withEntry(promises.fencing, step.attempt.holder, step.attempt)}
+      return {
+        ...promises,
+        fencing: withEntry(promises.fencing, step.attempt.holder, step.attempt),
+        tried: withEntry(promises.tried, step.attempt.holder, step.attempt.expectedVersion),
+      }
     case "fencing-settled":
       return {...promises, fencing: withoutEntry(promises.fencing, step.holder)}
     case "record-seen": {
       const known = promises.seen.get(step.holder)
       if (known && known.version >= step.version) return promises
-      const seen = {version: step.version, firstSeenAt: step.at}
+      const firstVersion = known?.firstVersion ?? step.version
+      const seen = {firstVersion, version: step.version, newSince: step.at}
       return {...promises, seen: withEntry(promises.seen, step.holder, seen)}
     }
   }
 }
 
-/** True when a promise may be given to the holder. */
-export function mayPromise(promises: Promises, holder: string): boolean {
-  return !promises.fencing.has(holder)
+/**
+ * True when a promise may be given on the record as it was read. No write that fences this version may be under way:
+ * neither one of this incarnation, nor one that an earlier incarnation has sent and that is forgotten here. The
+ * latter can only expect a version that names this instance and is no newer than the one seen first.
+ */
+export function mayPromise(promises: Promises, holder: string, record: ReadRecord): boolean {
+  if (promises.fencing.has(holder) || !record.active) return false
+  if (record.version <= (promises.tried.get(holder) ?? 0)) return false
+  const first = promises.seen.get(holder)?.firstVersion ?? record.version
+  return !record.namesSelf || record.version > first
 }
 
 /** True when this instance, named as a successor, may begin to fence the holder. */
@@ -94,5 +118,5 @@
 /** True when the record has stood still for longer than any holder would act on it. */
 export function mayFenceAfterGrace(promises: Promises, holder: string, now: Milliseconds): boolean {
   const seen = promises.seen.get(holder)
-  return seen !== undefined && now > seen.firstSeenAt + stretched(GRACE_MS)
+  return seen !== undefined && now > seen.newSince + stretched(GRACE_MS)
 }
