Planning a pass is a pure module that looks at a bounded number of groups

Cause: each task's choice filtered every worker group of the fleet. Before: cost grew with the fleet.

--- a/src/controllers/dispatcher.ts
+++ b/src/controllers/dispatcher.ts
@@ -5,14 +5,14 @@
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {Random} from "../core/random.js"
-import {add, dominantShare, fits, NOTHING, shapeKey} from "../core/resources.js"
-import type {Resources} from "../core/resources.js"
 import type {EnvironmentDocument} from "../document/model.js"
 import type {Attempt} from "../jobs/attempt.js"
 import type {FreeCapacity} from "../membership/table.js"
 import type {GroupChoice, GroupDescription} from "../placement/groupchoice.js"
+import {laneName, planPass} from "../placement/passplan.js"
+import type {GroupIndex, PlannedAsk} from "../placement/passplan.js"
 import {taskQueue} from "../placement/taskqueue.js"
-import type {Lane, QueuedItem, TaskQueue} from "../placement/taskqueue.js"
+import type {QueuedItem, TaskQueue} from "../placement/taskqueue.js"
 import {attemptTracker} from "./attempttracker.js"
 import type {AttemptTracker, TrackedAttempt} from "./attempttracker.js"
 import type {Logger} from "./logger.js"
@@ -31,7 +31,7 @@
   readonly choice: GroupChoice
   readonly jobGroup: string
   readonly document: () => EnvironmentDocument | undefined
-  readonly groups: () => readonly ReachableGroup[]
+  readonly groups: GroupIndex<ReachableGroup>
   readonly mayAct: () => boolean
   /** Builds the next attempt of a waiting task. */
   readonly nextAttempt: (item: WaitingTask) => Attempt
@@ -68,7 +68,6 @@
 const PASS_INTERVAL_MS: Milliseconds = 100
 const WAIT_AT_OWNER_MS: Milliseconds = 700
 const ASKS_AT_ONCE = 256
-const ASKS_WAITING_PER_GROUP = 3
 const BATCH = 32
 const SETTLE_INTERVAL_MS: Milliseconds = 500
 const DOUBT_AFTER_MS: Milliseconds = 6000
@@ -77,48 +76,16 @@
   return `${job}.${task}`
 }
 
-function laneName(item: QueuedItem): string {
-  return `${item.team}|${item.priority}|${item.pool}|${shapeKey(item.demand)}`
-}
-
-/** Deducts an expected placement from a description, so that one pass does not send everything to one group. */
-function deduct(free: FreeCapacity, demand: Resources): FreeCapacity {
-  const processors = Math.max(0, free.processors - demand.processors)
-  const memoryMebibytes = Math.max(0, free.memoryMebibytes - demand.memoryMebibytes)
-  const accelerators = Math.max(0, free.accelerators - demand.accelerators)
-  return {
-    ...free,
-    processors,
-    memoryMebibytes,
-    accelerators,
-    largestProcessors: Math.min(free.largestProcessors, processors),
-    largestMemoryMebibytes: Math.min(free.largestMemoryMebibytes, memoryMebibytes),
-    largestAccelerators: Math.min(free.largestAccelerators, accelerators),
-  }
-}
-
-function hasRoom(free: FreeCapacity, demand: Resources): boolean {
-  const most = {
-    processors: free.largestProcessors,
-    memoryMebibytes: free.largestMemoryMebibytes,
-    accelerators: free.largestAccelerators,
-  }
-  return fits(demand, most)
-}
-
-/** One group with the attempts that a pass sends there. */
-interface Batch {
-  readonly group: ReachableGroup
-  readonly wait: Milliseconds
-  readonly items: WaitingTask[]
-}
+type Ask = PlannedAsk<WaitingTask, ReachableGroup>
 
 /** Creates the dispatcher of one home. */
 export function dispatcher(ports: DispatcherPorts): Dispatcher {
   const {clock, log, client} = ports
   const queue = taskQueue<WaitingTask>()
   const tracker = attemptTracker()
-  const blockers = new Map<string, string>()
+  /** Kind of task to the reason that an owner gave last. */
+  const refusals = new Map<string, string>()
+  let blockers: ReadonlyMap<string, string> = new Map()
   const waitingAt = new Map<string, number>()
   /** Descriptions newer than those heard by gossip, from the owners' replies. */
   const fresh = new Map<string, {readonly free: FreeCapacity; readonly heard: FreeCapacity}>()
@@ -128,100 +95,29 @@
   let lastPassAt: Milliseconds = Number.NEGATIVE_INFINITY
   let settling = false
 
-  function describeGroups(): Map<string, ReachableGroup> {
-    const groups = new Map<string, ReachableGroup>()
-    for (const group of ports.groups()) {
-      const newer = fresh.get(group.group)
-      if (newer && newer.heard !== group.free) fresh.delete(group.group)
-      groups.set(group.group, newer?.heard === group.free ? {...group, free: newer.free} : group)
-    }
-    return groups
+  /** The group with what its owner said last, in a reply or by gossip. */
+  function newest(group: ReachableGroup): ReachableGroup {
+    const newer = fresh.get(group.group)
+    if (!newer) return group
+    if (newer.heard === group.free) return {...group, free: newer.free}
+    fresh.delete(group.group)
+    return group
   }
 
-  function fleetOf(groups: ReadonlyMap<string, ReachableGroup>): Resources {
-    let total = NOTHING
-    for (const {free} of groups.values()) {
-      total = add(total, {
-        processors: free.totalProcessors,
-        memoryMebibytes: free.totalMemoryMebibytes,
-        accelerators: free.totalAccelerators,
-      })
-    }
-    return total
+  function groupNamed(name: string): ReachableGroup | undefined {
+    const group = ports.groups.named(name)
+    return group && newest(group)
   }
 
-  function shareOf(team: string, fleet: Resources): number {
-    const weight = ports.document()?.teams.get(team)?.weight ?? 1
-    return dominantShare(tracker.usageOf(team), fleet) / weight
+  const index: GroupIndex<ReachableGroup> = {
+    ofPool: ports.groups.ofPool,
+    named: groupNamed,
+    fleet: ports.groups.fleet,
   }
 
-  function quotaBlocker(item: WaitingTask, planned: ReadonlyMap<string, Resources>): string | undefined {
-    const team = ports.document()?.teams.get(item.team)
-    if (!team) return `the team ${item.team} is no longer in the document`
-    const used = add(tracker.usageOf(item.team), planned.get(item.team) ?? NOTHING)
-    if (fits(add(used, item.demand), team.quota)) return undefined
-    return `the quota of team ${item.team} is used up`
-  }
-
-  /** Plans one pass: which waiting tasks go to which groups. */
-  function plan(): readonly Batch[] {
-    const groups = describeGroups()
-    const fleet = fleetOf(groups)
-    const planned = new Map<string, Resources>()
-    const batches = new Map<string, Batch>()
-    const waits = new Map(waitingAt)
-    const packingWeight = ports.document()?.packingWeight ?? 0.5
-    let asks = [...tracker.all()].reduce((count, entry) => count + (entry.phase === "asking" ? 1 : 0), 0)
-    blockers.clear()
-
-    function planItem(lane: Lane<WaitingTask>, item: WaitingTask): string | undefined {
-      const quota = quotaBlocker(item, planned)
-      if (quota !== undefined) return quota
-      const usable = [...groups.values()].filter(group => group.pool === item.pool)
-      if (usable.length === 0) return `no owner of a worker group of pool ${item.pool} is known`
-      const roomy = usable.filter(group => hasRoom(group.free, item.demand))
-      const open =
-        roomy.length > 0
-          ? roomy
-          : usable.filter(group => (waits.get(group.group) ?? 0) < ASKS_WAITING_PER_GROUP)
-      const chosen = ports.choice.choose(open, item.demand, packingWeight, ports.random)
-      const group = chosen && groups.get(chosen.group)
-      if (!group) return `no group of pool ${item.pool} has room, and enough tasks wait there`
-      const wait = roomy.length > 0 ? 0 : WAIT_AT_OWNER_MS
-      const key = wait > 0 ? taskName(item.job, item.task) : group.group
-      const batch = batches.get(key) ?? {group, wait, items: []}
-      batch.items.push(item)
-      batches.set(key, batch)
-      if (wait > 0) waits.set(group.group, (waits.get(group.group) ?? 0) + 1)
-      else groups.set(group.group, {...group, free: deduct(group.free, item.demand)})
-      planned.set(lane.team, add(planned.get(lane.team) ?? NOTHING, item.demand))
-      return undefined
-    }
-
-    for (const lane of queue.lanes(clock.now(), team => shareOf(team, fleet))) {
-      for (const item of lane.items.values()) {
-        if (asks >= ASKS_AT_ONCE) return [...batches.values()]
-        const blocker = planItem(lane, item)
-        if (blocker !== undefined) {
-          blockers.set(laneName(item), blocker)
-          break
-        }
-        asks += 1
-      }
-    }
-    return [...batches.values()]
-  }
-
-  function rankOf(items: readonly WaitingTask[]): number {
-    const first = items[0]
-    if (!first) return 0
-    const fleet = fleetOf(describeGroups())
-    return shareOf(first.team, fleet)
-  }
-
-  function begin(batch: Batch, items: readonly WaitingTask[]): readonly Attempt[] {
+  function begin(ask: Ask, items: readonly WaitingTask[]): readonly Attempt[] {
     const since = clock.now()
-    const {group, owner} = batch.group
+    const {group, owner} = ask.group
     return items.map(item => {
       queue.remove(item.key)
       const attempt = ports.nextAttempt(item)
@@ -238,11 +134,11 @@
     })
   }
 
-  function noteAnswer(batch: Batch, answer: PlacedAttempt): void {
+  function noteAnswer(planned: Ask, answer: PlacedAttempt): void {
     const entry = tracker.get(answer.attempt)
     if (!entry) return
     const {attempt} = entry
-    const {group} = batch.group
+    const {group} = planned.group
     log.info(
       {
         event: "placement-answer",
@@ -266,7 +162,7 @@
       tracker.update(answer.attempt, {phase: "in-doubt", worker: answer.worker})
       return
     }
-    blockers.set(laneName(attemptItem(attempt, entry.since)), answer.reason)
+    refusals.set(laneName(attemptItem(attempt, entry.since)), answer.reason)
     tracker.forget(answer.attempt)
     ports.onNeverStarted(attempt)
   }
@@ -276,51 +172,74 @@
     return {key: taskName(job, task), job, task, team, priority, pool, demand, restartable, enqueuedAt}
   }
 
-  function refuseAll(attempts: readonly Attempt[], batch: Batch, reason: string): void {
-    for (const {attempt} of attempts) noteAnswer(batch, {attempt, result: "refused", worker: "", reason})
+  function refuseAll(attempts: readonly Attempt[], planned: Ask, reason: string): void {
+    for (const {attempt} of attempts) noteAnswer(planned, {attempt, result: "refused", worker: "", reason})
   }
 
-  async function ask(batch: Batch, attempts: readonly Attempt[]): Promise<void> {
-    const {group, owner} = batch.group
-    const rank = rankOf(batch.items)
-    if (batch.wait > 0) waitingAt.set(group, (waitingAt.get(group) ?? 0) + 1)
-    const call = {group, owner, mode: "start" as const, attempts, wait: batch.wait, rank, reservation: ""}
+  async function ask(planned: Ask, attempts: readonly Attempt[]): Promise<void> {
+    const {group, owner} = planned.group
+    const rank = planned.rank
+    if (planned.mayWait) waitingAt.set(group, (waitingAt.get(group) ?? 0) + 1)
+    const call = {
+      group,
+      owner,
+      mode: "start" as const,
+      attempts,
+      wait: planned.mayWait ? WAIT_AT_OWNER_MS : 0,
+      rank,
+      reservation: "",
+    }
     const reply = await client.place(call)
-    if (batch.wait > 0) waitingAt.set(group, (waitingAt.get(group) ?? 1) - 1)
+    if (planned.mayWait) waitingAt.set(group, (waitingAt.get(group) ?? 1) - 1)
     if (closed) return
     if (reply.isErr()) {
-      if (reply.error.certainty === "not-run") refuseAll(attempts, batch, reply.error.message)
+      if (reply.error.certainty === "not-run") refuseAll(attempts, planned, reply.error.message)
       else for (const {attempt} of attempts) tracker.update(attempt, {phase: "in-doubt"})
       return
     }
     if (reply.value.refusal !== "") {
-      refuseAll(attempts, batch, reply.value.refusal)
+      refuseAll(attempts, planned, reply.value.refusal)
       return
     }
-    const heard = ports.groups().find(known => known.group === group)?.free
+    const heard = ports.groups.named(group)?.free
     if (reply.value.free && heard) fresh.set(group, {free: reply.value.free, heard})
-    for (const answer of reply.value.placements) noteAnswer(batch, answer)
+    for (const answer of reply.value.placements) noteAnswer(planned, answer)
     wake()
   }
 
-  async function send(batch: Batch): Promise<void> {
-    for (let from = 0; from < batch.items.length; from += BATCH) {
-      const items = batch.items.slice(from, from + BATCH).filter(item => queue.get(item.key))
+  async function send(planned: Ask): Promise<void> {
+    for (let from = 0; from < planned.items.length; from += BATCH) {
+      const items = planned.items.slice(from, from + BATCH).filter(item => queue.get(item.key))
       const once = items.filter(item => !item.restartable)
-      const attempts = begin(batch, items)
+      const attempts = begin(planned, items)
       if (once.length > 0 && !(await ports.recordMayStart(once))) {
-        refuseAll(attempts, batch, "it cannot be recorded now that at-most-once work may start")
+        refuseAll(attempts, planned, "it cannot be recorded now that at-most-once work may start")
         continue
       }
-      if (attempts.length > 0) void ask(batch, attempts)
+      if (attempts.length > 0) void ask(planned, attempts)
     }
   }
 
   function pass(): void {
     passWanted = false
     lastPassAt = clock.now()
-    if (closed || !ports.mayAct() || !ports.document()) return
-    for (const batch of plan()) void send(batch)
+    const document = ports.document()
+    if (closed || !ports.mayAct() || !document) return
+    const asking = [...tracker.all()].reduce((count, entry) => count + (entry.phase === "asking" ? 1 : 0), 0)
+    const plan = planPass({
+      now: clock.now(),
+      queue,
+      groups: index,
+      choice: ports.choice,
+      random: ports.random,
+      packingWeight: document.packingWeight,
+      teamOf: team => document.teams.get(team),
+      usageOf: tracker.usageOf,
+      waitingAt: group => waitingAt.get(group) ?? 0,
+      allowance: ASKS_AT_ONCE - asking,
+    })
+    blockers = plan.blockers
+    for (const planned of plan.asks) void send(planned)
   }
 
   const SHORTEST_PASS_GAP_MS: Milliseconds = 5
@@ -384,9 +303,8 @@
   function stop(entries: readonly TrackedAttempt[], checkpoint: boolean): void {
     for (const entry of entries)
       tracker.update(entry.attempt.attempt, {stopWanted: checkpoint ? "checkpoint" : "stop"})
-    const groups = describeGroups()
     for (const [name, listed] of groupBy(entries)) {
-      const group = groups.get(name)
+      const group = groupNamed(name)
       if (group) void sendStop(group, listed, checkpoint)
     }
   }
@@ -443,10 +361,9 @@
   async function settle(): Promise<void> {
     if (settling || closed || !ports.mayAct()) return
     settling = true
-    const groups = describeGroups()
     const work: Promise<void>[] = []
     for (const [name, entries] of groupBy([...tracker.all()])) {
-      const group = groups.get(name)
+      const group = groupNamed(name)
       if (!group) continue
       const doubtful = entries.filter(entry => isDoubtful(entry, group))
       if (doubtful.length > 0) work.push(settleGroup(group, doubtful))
@@ -476,7 +393,7 @@
     wake,
     stop,
     settle,
-    blockerOf: item => blockers.get(laneName(item)),
+    blockerOf: item => blockers.get(laneName(item)) ?? refusals.get(laneName(item)),
     close() {
       closed = true
     },
--- a/src/controllers/gangs.ts
+++ b/src/controllers/gangs.ts
@@ -7,6 +7,7 @@
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {Random} from "../core/random.js"
 import type {Attempt} from "../jobs/attempt.js"
+import type {GroupIndex} from "../placement/passplan.js"
 import type {ReachableGroup} from "./dispatcher.js"
 import type {Logger} from "./logger.js"
 import type {PlacementClient, PlacedAttempt} from "./placementclient.js"
@@ -26,7 +27,7 @@
   readonly random: Random
   readonly log: Logger
   readonly client: PlacementClient
-  readonly groups: () => readonly ReachableGroup[]
+  readonly groups: GroupIndex<ReachableGroup>
   readonly mayAct: () => boolean
   readonly nextAttempts: (gang: WaitingGang) => readonly Attempt[]
   /** Reason in words why the team may not start the gang now. */
@@ -96,10 +97,7 @@
 
   /** Groups in one order at every home; those that could take all tasks alone go first. */
   function usableGroups(gang: WaitingGang): readonly ReachableGroup[] {
-    return ports
-      .groups()
-      .filter(group => group.pool === gang.pool)
-      .sort((one, other) => (one.group < other.group ? -1 : 1))
+    return [...ports.groups.ofPool(gang.pool)].sort((one, other) => (one.group < other.group ? -1 : 1))
   }
 
   async function reserveAt(
--- a/src/controllers/jobhome.ts
+++ b/src/controllers/jobhome.ts
@@ -17,6 +17,7 @@
 import {effectiveDemand, learn, NO_ESTIMATE, stragglers} from "../placement/learning.js"
 import type {WorkloadEstimate} from "../placement/learning.js"
 import type {GroupChoice} from "../placement/groupchoice.js"
+import type {GroupIndex} from "../placement/passplan.js"
 import type {Store} from "../platform/ports.js"
 import {decideEnd} from "./attemptends.js"
 import type {TrackedAttempt} from "./attempttracker.js"
@@ -47,7 +48,7 @@
   readonly instance: string
   readonly document: () => EnvironmentDocument | undefined
   /** Worker groups whose owners are known. */
-  readonly groups: () => readonly ReachableGroup[]
+  readonly groups: GroupIndex<ReachableGroup>
   /** Every worker group that exists, with or without a known owner. */
   readonly groupNames: () => readonly string[]
   readonly poolShape: (pool: string) => PoolShape | undefined
@@ -564,7 +565,7 @@
   }
 
   async function inventoryOf(name: string): Promise<boolean> {
-    const group = ports.groups().find(known => known.group === name)
+    const group = ports.groups.named(name)
     if (!group) return false
     const reply = await ports.client.inventory(name, group.owner)
     if (reply.isErr() || reply.value.refusal !== "") return false
--- a/src/entry/core.ts
+++ b/src/entry/core.ts
@@ -252,7 +252,7 @@
         choice: new BestOfDrawn(),
         instance,
         document,
-        groups: () => routes.workerGroups(),
+        groups: routes.workerGroups,
         groupNames: () => [...list.workerGroups().keys()],
         poolShape: list.poolShape,
         mayAct,
--- a/src/entry/routes.ts
+++ b/src/entry/routes.ts
@@ -1,5 +1,8 @@
 /** Where groups are held, as this instance knows from its own records, from gossip and from the store. */
 import type {Clock, Milliseconds} from "../core/clock.js"
+import {add, NOTHING} from "../core/resources.js"
+import type {Resources} from "../core/resources.js"
+import type {GroupIndex} from "../placement/passplan.js"
 import type {Claim, FreeCapacity, Member, Table} from "../membership/table.js"
 import type {ReachableGroup} from "../controllers/dispatcher.js"
 import {poolOfGroup} from "../controllers/instancelist.js"
@@ -19,27 +22,44 @@
 }
 
 export interface Routes {
-  readonly workerGroups: () => readonly ReachableGroup[]
+  readonly workerGroups: GroupIndex<ReachableGroup>
   readonly lendingGroups: (pool: string) => readonly LendingGroup[]
   readonly holderOf: (group: string) => GroupOwnerAddress | undefined
 }
 
+/** How long the index of groups is used before it is built anew. */
 const CACHED_FOR_MS: Milliseconds = 25
+/** With more groups than this the index is built less often, in proportion. */
+const SMALL_FLEET_GROUPS = 100
 
 interface Located {
   readonly claim: Claim
   readonly owner: GroupOwnerAddress
 }
 
+interface Index {
+  readonly builtAt: Milliseconds
+  readonly located: ReadonlyMap<string, Located>
+  readonly byName: ReadonlyMap<string, ReachableGroup>
+  readonly byPool: ReadonlyMap<string, readonly ReachableGroup[]>
+  readonly fleet: Resources
+}
+
+const EMPTY_INDEX: Index = {
+  builtAt: Number.NEGATIVE_INFINITY,
+  located: new Map(),
+  byName: new Map(),
+  byPool: new Map(),
+  fleet: NOTHING,
+}
+
 function newer(heard: GroupOwnerAddress, stored: GroupOwnerAddress | undefined): GroupOwnerAddress {
   return stored && stored.epoch > heard.epoch ? stored : heard
 }
 
 /** Creates the routes of one instance. */
 export function routes(ports: RoutesPorts): Routes {
-  let located: ReadonlyMap<string, Located> = new Map()
-  let reachable: readonly ReachableGroup[] = []
-  let builtAt: Milliseconds = Number.NEGATIVE_INFINITY
+  let index = EMPTY_INDEX
 
   function locate(): ReadonlyMap<string, Located> {
     const found = new Map<string, Located>()
@@ -54,41 +74,63 @@
     return found
   }
 
-  function rebuild(): void {
-    if (ports.clock.now() < builtAt + CACHED_FOR_MS) return
-    builtAt = ports.clock.now()
-    located = locate()
-    const groups: ReachableGroup[] = []
+  function describe(located: ReadonlyMap<string, Located>): ReadonlyMap<string, ReachableGroup> {
+    const groups = new Map<string, ReachableGroup>()
     for (const [group, {claim, owner}] of located) {
-      if (claim.free)
-        groups.push({
-          group,
-          pool: poolOfGroup(group),
-          free: claim.free,
-          owner: newer(owner, ports.storedHolder(group)),
-        })
+      if (!claim.free) continue
+      groups.set(group, {
+        group,
+        pool: poolOfGroup(group),
+        free: claim.free,
+        owner: newer(owner, ports.storedHolder(group)),
+      })
     }
     for (const [group, free] of ports.existingGroups()) {
-      const owner = located.has(group) ? undefined : ports.storedHolder(group)
-      if (owner) groups.push({group, pool: poolOfGroup(group), free, owner})
+      const owner = groups.has(group) ? undefined : ports.storedHolder(group)
+      if (owner) groups.set(group, {group, pool: poolOfGroup(group), free, owner})
+    }
+    return groups
+  }
+
+  function build(): Index {
+    const located = locate()
+    const byName = describe(located)
+    const byPool = new Map<string, ReachableGroup[]>()
+    let fleet = NOTHING
+    for (const group of byName.values()) {
+      const pool = byPool.get(group.pool) ?? []
+      pool.push(group)
+      byPool.set(group.pool, pool)
+      const {
+        totalProcessors: processors,
+        totalMemoryMebibytes: memoryMebibytes,
+        totalAccelerators: accelerators,
+      } = group.free
+      fleet = add(fleet, {processors, memoryMebibytes, accelerators})
     }
-    reachable = groups
+    return {builtAt: ports.clock.now(), located, byName, byPool, fleet}
+  }
+
+  function current(): Index {
+    const keptFor = CACHED_FOR_MS * Math.max(1, index.byName.size / SMALL_FLEET_GROUPS)
+    if (ports.clock.now() >= index.builtAt + keptFor) index = build()
+    return index
   }
 
   return {
-    workerGroups() {
-      rebuild()
-      return reachable
-    },
-    lendingGroups(pool) {
-      rebuild()
-      return reachable
-        .filter(group => group.pool === pool)
-        .map(group => ({group: group.group, owner: group.owner, idleSlots: group.free.idleSlots}))
+    workerGroups: {
+      ofPool: pool => current().byPool.get(pool) ?? [],
+      named: group => current().byName.get(group),
+      fleet: () => current().fleet,
     },
+    lendingGroups: pool =>
+      (current().byPool.get(pool) ?? []).map(({group, owner, free}) => ({
+        group,
+        owner,
+        idleSlots: free.idleSlots,
+      })),
     holderOf(group) {
-      rebuild()
-      const heard = located.get(group)?.owner
+      const heard = current().located.get(group)?.owner
       const stored = ports.storedHolder(group)
       return heard ? newer(heard, stored) : stored
     },
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -295,7 +295,7 @@
       return cuts.has(pairOf(from, target)) || isDead(node) ? timeOut() : reply
     }
     const entries = PEER_METHODS.map(method => [method, (request: unknown) => invoke(method, request)])
-    return Object.fromEntries(entries) as Record<string, unknown> as unknown as PeerApi
+    return Object.fromEntries(entries) as PeerApi
   }
 
   function gatewayFor(from: string, gate: Gate): WorkerGateway {
