--- a/spec/defects.ts
+++ b/spec/defects.ts
@@ -76,9 +76,9 @@
   {
     name: "a holder takes a write as done that it has only sent",
     specification: "holder",
-    find: "knownVersion' = knownVersion,\n    knownSuccessors' = knownSuccessors,\n    renewedAt' = renewedAt,\n    promises' = promises,\n    ended' = ended,\n    keepOthers, keepClocks, keepStore,",
+    find: "pendingSentAt' = if (isPending) pendingSentAt else holderClock,\n    },\n    replies' = replies,\n    knownVersion' = knownVersion,",
     replace:
-      "knownVersion' = knownVersion + 1,\n    knownSuccessors' = named,\n    renewedAt' = renewedAt,\n    promises' = promises,\n    ended' = ended,\n    keepOthers, keepClocks, keepStore,",
+      "pendingSentAt' = if (isPending) pendingSentAt else holderClock,\n    },\n    replies' = replies,\n    knownVersion' = knownVersion + 1,",
     invariant: "knowledgeIsOld",
   },
   {
--- a/spec/run.ts
+++ b/spec/run.ts
@@ -39,7 +39,7 @@
 ]
 
 const SEEDS: readonly string[] = ["1", "2"]
-const DEFECT_SAMPLES = 6000
+const DEFECT_SAMPLES = 20_000
 const QUINT = join("node_modules", ".bin", "quint")
 
 function simulate(
--- a/src/controllers/dispatcher.ts
+++ b/src/controllers/dispatcher.ts
@@ -67,6 +67,8 @@
 
 const PASS_INTERVAL_MS: Milliseconds = 100
 const WAIT_AT_OWNER_MS: Milliseconds = 700
+/** Wait at an owner that seems to have room. */
+const SHORT_WAIT_MS: Milliseconds = 150
 const ASKS_AT_ONCE = 256
 const BATCH = 32
 const SETTLE_INTERVAL_MS: Milliseconds = 500
@@ -185,8 +187,9 @@
       owner,
       mode: "start" as const,
       attempts,
-      wait: planned.mayWait ? WAIT_AT_OWNER_MS : 0,
+      wait: planned.mayWait ? WAIT_AT_OWNER_MS : SHORT_WAIT_MS,
       rank,
+      waited: planned.waited,
       reservation: "",
     }
     const reply = await client.place(call)
--- a/src/controllers/gangs.ts
+++ b/src/controllers/gangs.ts
@@ -105,7 +105,14 @@
     group: ReachableGroup,
     attempts: readonly Attempt[],
   ): Promise<readonly Attempt[]> {
-    const order = {group: group.group, owner: group.owner, wait: 0, rank: rankOf(gang), reservation: gang.job}
+    const order = {
+      group: group.group,
+      owner: group.owner,
+      wait: 0,
+      waited: 0,
+      rank: rankOf(gang),
+      reservation: gang.job,
+    }
     const reply = await client.place({...order, mode: "reserve", attempts})
     if (reply.isErr()) return []
     const reserved = new Set(
@@ -123,6 +130,7 @@
           mode: "release",
           attempts,
           wait: 0,
+          waited: 0,
           rank: 0,
           reservation: gang.job,
         }),
@@ -161,7 +169,14 @@
   }
 
   async function commitAt(gang: WaitingGang, {group, attempts}: Placed): Promise<readonly PlacedAttempt[]> {
-    const order = {group: group.group, owner: group.owner, wait: 0, rank: rankOf(gang), reservation: gang.job}
+    const order = {
+      group: group.group,
+      owner: group.owner,
+      wait: 0,
+      waited: 0,
+      rank: rankOf(gang),
+      reservation: gang.job,
+    }
     const reply = await client.place({...order, mode: "commit", attempts})
     const all = (result: string, reason: string): readonly PlacedAttempt[] =>
       attempts.map(({attempt}) => ({attempt, result, worker: "", reason}))
--- a/src/controllers/groupowner.ts
+++ b/src/controllers/groupowner.ts
@@ -14,7 +14,8 @@
 import type {Reservation} from "../placement/ledger.js"
 import {placementPolicy} from "../placement/policy.js"
 import {choosePreemption} from "../placement/preemption.js"
-import {enter, expire, isUrgent, leave} from "../placement/waitingroom.js"
+import {LEAST_RUN_MS, mayPass, preemptiblePriority} from "../placement/precedence.js"
+import {enter, expire, leave} from "../placement/waitingroom.js"
 import type {WaitingRoom} from "../placement/waitingroom.js"
 import type {ListedInstance, WorkerGateway} from "../platform/ports.js"
 import {groupWorkers} from "./groupworkers.js"
@@ -50,6 +51,8 @@
   readonly attempts: readonly Attempt[]
   readonly wait: Milliseconds
   readonly rank: number
+  /** How long the attempts have waited at their home. */
+  readonly waited: Milliseconds
 }
 
 export interface ReserveOrder extends PlaceOrder {
@@ -212,10 +215,17 @@
     return track(startOn(choice.value.worker, attempt))
   }
 
-  function preemptFor(attempt: Attempt): void {
-    if (!isUrgent(attempt) || preemptions.has(attempt.attempt)) return
-    const taken = new Set([...preemptions.values()].flatMap(preemption => [...preemption.victims]))
-    const plan = choosePreemption(workers.ledger(), attempt, taken)
+  /** Attempts that must not be checkpointed now: they are being stopped already, or have hardly run. */
+  function sparedAttempts(): ReadonlySet<string> {
+    const spared = new Set([...preemptions.values()].flatMap(preemption => [...preemption.victims]))
+    for (const [name, entry] of workers.usage()) if (entry.ranFor < LEAST_RUN_MS) spared.add(name)
+    return spared
+  }
+
+  function preemptFor(attempt: Attempt, waited: Milliseconds): void {
+    const highest = preemptiblePriority(attempt, waited)
+    if (highest < 0 || preemptions.has(attempt.attempt)) return
+    const plan = choosePreemption(workers.ledger(), attempt, highest, sparedAttempts())
     if (!plan) return
     const until = clock.now() + PREEMPTION_TERM_MS
     preemptions.set(attempt.attempt, {worker: plan.worker, victims: new Set(plan.victims), until})
@@ -237,7 +247,7 @@
       const started = tryStart(attempt)
       if (!started) {
         blocked.add(shape)
-        preemptFor(attempt)
+        preemptFor(attempt, clock.now() - waiting.arrivedAt)
         continue
       }
       room = leave(room, attempt.attempt)
@@ -267,17 +277,20 @@
     )
   }
 
-  function placeOne(attempt: Attempt, wait: Milliseconds, rank: number): Promise<PlacementAnswer> {
+  function placeOne(
+    attempt: Attempt,
+    wait: Milliseconds,
+    rank: number,
+    waited: Milliseconds,
+  ): Promise<PlacementAnswer> {
     const repeated = known(attempt)
     if (repeated) return Promise.resolve(repeated)
-    const goesFirst =
-      isUrgent(attempt) || !room.some(waiting => isUrgent(waiting.attempt) || waiting.rank < rank)
-    const started = goesFirst ? tryStart(attempt) : undefined
+    const started = mayPass(room, attempt, rank) ? tryStart(attempt) : undefined
     if (started) return started
-    preemptFor(attempt)
+    preemptFor(attempt, waited)
     if (wait <= 0) return Promise.resolve(refused(attempt.attempt, explainRefusal(attempt)))
     const now = clock.now()
-    room = enter(room, {attempt, rank, arrivedAt: now, expiresAt: now + wait})
+    room = enter(room, {attempt, rank, arrivedAt: now - waited, expiresAt: now + wait})
     return new Promise(resolve => waiters.set(attempt.attempt, {resolve}))
   }
 
@@ -291,7 +304,7 @@
     if (refusal) return refusal
     if (draining)
       return order.attempts.map(attempt => refused(attempt.attempt, "the group is being handed over"))
-    return Promise.all(order.attempts.map(attempt => placeOne(attempt, order.wait, order.rank)))
+    return Promise.all(order.attempts.map(attempt => placeOne(attempt, order.wait, order.rank, order.waited)))
   }
 
   /** Releases younger reservations until the attempt fits on some worker. */
--- a/src/controllers/membership.ts
+++ b/src/controllers/membership.ts
@@ -8,14 +8,13 @@
 import type {Random} from "../core/random.js"
 import {chooseEntries, noteExchange} from "../membership/gossip.js"
 import type {PeerKnowledge} from "../membership/gossip.js"
-import {activeMembers, forgetSilent, mergeEntries} from "../membership/table.js"
+import {activeMembers, forgetSilent, gossipInterval, mergeEntries} from "../membership/table.js"
 import type {Member, MemberState, Table} from "../membership/table.js"
 import type {PeerApi, PeerNetwork} from "../peer/api.js"
 import {entryFromMessage, entryToMessage} from "../peer/convert.js"
 import {GossipMessageSchema} from "../peer/generated/peer_pb.js"
 import type {GossipMessage} from "../peer/generated/peer_pb.js"
 
-export const GOSSIP_INTERVAL_MS: Milliseconds = 500
 const FORGET_AFTER_MS: Milliseconds = 10 * 60_000
 const KNOWN_PEERS = 64
 
@@ -127,7 +126,7 @@
     heartbeat += 1
     table = forgetSilent(table, ports.clock.now(), FORGET_AFTER_MS)
     void choosePeer()?.()
-    ports.clock.after(GOSSIP_INTERVAL_MS * (0.9 + ports.random.next() / 5), tick)
+    ports.clock.after(gossipInterval(table.size) * (0.9 + ports.random.next() / 5), tick)
   }
 
   return {
--- a/src/controllers/placementclient.ts
+++ b/src/controllers/placementclient.ts
@@ -31,6 +31,8 @@
   readonly attempts: readonly Attempt[]
   readonly wait: Milliseconds
   readonly rank: number
+  /** How long the attempts have waited at the home. */
+  readonly waited: Milliseconds
   readonly reservation: string
 }
 
@@ -81,9 +83,20 @@
   return {
     async place(call) {
       const {group, owner, mode, wait, rank, reservation} = call
+      const waited = Math.round(call.waited)
       if (!mayAct()) return err(new CallFailed(owner.instance, "this instance may not act now", "not-run"))
       const attempts = call.attempts.map(attemptToMessage)
-      const order = {...identity, group, ownerEpoch: owner.epoch, mode, wait, rank, reservation, attempts}
+      const order = {
+        ...identity,
+        group,
+        ownerEpoch: owner.epoch,
+        mode,
+        wait,
+        rank,
+        waited,
+        reservation,
+        attempts,
+      }
       const request = create(PlaceRequestSchema, order)
       const reply = await callPeer(network, owner.instance, peer => peer.place(request))
       return reply.map(({placements, free, refusal}) => ({
--- a/src/entry/core.ts
+++ b/src/entry/core.ts
@@ -33,7 +33,7 @@
 import type {PeerApi, PeerNetwork} from "../peer/api.js"
 import {endToMessage} from "../peer/convert.js"
 import {HoldingsRequestSchema, ReportEndsRequestSchema} from "../peer/generated/peer_pb.js"
-import {BestOfDrawn} from "../placement/groupchoice.js"
+import {WeightedRandom} from "../placement/groupchoice.js"
 import type {GuardedStore} from "../platform/guardedstore.js"
 import {guardedStore} from "../platform/guardedstore.js"
 import type {BackendProbe, InstanceList, Store, WorkerGateway} from "../platform/ports.js"
@@ -249,7 +249,7 @@
         store,
         log,
         client: placementClient({jobGroup: group, epoch}, network, mayAct),
-        choice: new BestOfDrawn(),
+        choice: new WeightedRandom(),
         instance,
         document,
         groups: routes.workerGroups,
--- a/src/entry/peerhandlers.ts
+++ b/src/entry/peerhandlers.ts
@@ -57,13 +57,14 @@
 }
 
 function orderFrom(request: PlaceRequest): PlaceOrder & {readonly reservation: string} {
-  const {ownerEpoch, jobGroup, homeEpoch, wait, rank, reservation} = request
+  const {ownerEpoch, jobGroup, homeEpoch, wait, rank, waited, reservation} = request
   return {
     ownerEpoch,
     jobGroup,
     homeEpoch,
     wait,
     rank,
+    waited,
     reservation,
     attempts: request.attempts.map(attemptFromMessage),
   }
--- a/src/membership/table.ts
+++ b/src/membership/table.ts
@@ -107,10 +107,19 @@
 export type Liveliness = "alive" | "suspected"
 
 /** Bound on the entries of one message. It keeps the cost of an instance flat as instances grow. */
-export const ENTRIES_PER_MESSAGE = 24
+export const ENTRIES_PER_MESSAGE = 12
 
 const BASE_SUSPICION_MS: Milliseconds = 4000
-const SUSPICION_PER_MEMBER_MS: Milliseconds = 15
+const SUSPICION_PER_MEMBER_MS: Milliseconds = 370
+
+const SHORT_INTERVAL_MS: Milliseconds = 500
+const LONG_INTERVAL_MS: Milliseconds = 1000
+const SMALL_MEMBERSHIP = 32
+
+/** Interval between two exchanges of one instance. */
+export function gossipInterval(members: number): Milliseconds {
+  return members <= SMALL_MEMBERSHIP ? SHORT_INTERVAL_MS : LONG_INTERVAL_MS
+}
 
 /** How long a member may be silent before it is suspected: it grows as messages hold a smaller part of the table. */
 export function suspicionTimeout(members: number): Milliseconds {
--- a/src/placement/groupchoice.ts
+++ b/src/placement/groupchoice.ts
@@ -1,7 +1,6 @@
 /**
  * Chooses the worker group to ask for an attempt, from descriptions of free capacity that may be stale. Several
- * homes choose at the same time, so each draws a few groups at random and takes the best of them: a choice of the
- * best of all would send every home to the same group.
+ * homes choose at the same time: a choice of the best of all would send every home to the same group.
  */
 import type {Random} from "../core/random.js"
 import {fits} from "../core/resources.js"
@@ -95,7 +94,10 @@
   }
 }
 
-/** Draws one group with a probability that falls with its cost. */
+/**
+ * Draws one group with a probability that falls with its cost. Several homes that decide alone from the same stale
+ * descriptions spread their choices, as the devices of Wayfinder do when each draws a place for a replica by weight.
+ */
 export class WeightedRandom implements GroupChoice {
   choose(
     groups: readonly GroupDescription[],
--- a/src/placement/passplan.ts
+++ b/src/placement/passplan.ts
@@ -10,7 +10,9 @@
 import type {TeamDefinition} from "../document/model.js"
 import type {FreeCapacity} from "../membership/table.js"
 import type {GroupChoice, GroupDescription} from "./groupchoice.js"
+import {STARVING_RANK} from "./precedence.js"
 import type {QueuedItem, TaskQueue} from "./taskqueue.js"
+import {STARVATION_LIMIT_MS} from "./taskqueue.js"
 
 /** The worker groups that a home can reach, indexed. */
 export interface GroupIndex<Group extends GroupDescription> {
@@ -27,6 +29,8 @@
   readonly group: Group
   readonly mayWait: boolean
   readonly rank: number
+  /** How long the task that came last has waited. */
+  readonly waited: Milliseconds
   readonly items: readonly Item[]
 }
 
@@ -52,6 +56,9 @@
 }
 
 const ASKS_WAITING_PER_GROUP = 3
+const HIGHEST_PRIORITY = 9
+/** Shares count for less than a step of priority. */
+const LARGEST_SHARE = 0.99
 /** Groups looked at for one task. */
 export const GROUPS_DRAWN = 12
 
@@ -116,6 +123,12 @@
     return weightedShare(inputs.teamOf(team), inputs.usageOf(team), fleet)
   }
 
+  /** Lower ranks go first at the owner: starving work, then higher priorities, then smaller shares. */
+  function rankOf(item: Item): number {
+    if (now - item.enqueuedAt >= STARVATION_LIMIT_MS) return STARVING_RANK
+    return HIGHEST_PRIORITY - item.priority + Math.min(LARGEST_SHARE, shareOf(item.team))
+  }
+
   function quotaBlocker(item: Item): string | undefined {
     const team = inputs.teamOf(item.team)
     if (!team) return `the team ${item.team} is no longer in the document`
@@ -129,10 +142,10 @@
 
   function ask(item: Item, group: Group, mayWait: boolean): void {
     planned.set(item.team, add(planned.get(item.team) ?? NOTHING, item.demand))
-    const rank = shareOf(item.team)
+    const rank = rankOf(item)
     if (mayWait) {
       waits.set(group.group, waitsAt(group) + 1)
-      asks.push({group, mayWait, rank, items: [item]})
+      asks.push({group, mayWait, rank, waited: now - item.enqueuedAt, items: [item]})
       return
     }
     touched.set(group.group, {...group, free: deduct(group.free, item.demand)})
@@ -172,6 +185,9 @@
       allowance -= 1
     }
   }
-  for (const {group, rank, items} of together.values()) asks.unshift({group, mayWait: false, rank, items})
+  for (const {group, rank, items} of together.values()) {
+    const waited = Math.min(...items.map(item => now - item.enqueuedAt))
+    asks.unshift({group, mayWait: false, rank, waited, items})
+  }
   return {asks, blockers}
 }
--- a/src/placement/preemption.ts
+++ b/src/placement/preemption.ts
@@ -16,9 +16,14 @@
   return dominantShare(victim.demand, capacity) * (1 + victim.priority)
 }
 
-function planFor(worker: WorkerLedger, attempt: Attempt, taken: ReadonlySet<string>): Preemption | undefined {
+function planFor(
+  worker: WorkerLedger,
+  attempt: Attempt,
+  highest: number,
+  spared: ReadonlySet<string>,
+): Preemption | undefined {
   const eligible = [...worker.held.values()]
-    .filter(held => held.checkpointable && held.priority < attempt.priority && !taken.has(held.attempt))
+    .filter(held => held.checkpointable && held.priority <= highest && !spared.has(held.attempt))
     .sort((one, other) => victimCost(one, worker.capacity) - victimCost(other, worker.capacity))
   let free = freeOf(worker)
   let cost = 0
@@ -44,15 +49,19 @@
   return kept.map(victim => victim.attempt)
 }
 
-/** The cheapest preemption over the open workers of the group. Attempts in `taken` are being stopped already. */
+/**
+ * The cheapest preemption over the open workers of the group. Only work up to the highest priority given is stopped,
+ * and none that is spared.
+ */
 export function choosePreemption(
   ledger: GroupLedger,
   attempt: Attempt,
-  taken: ReadonlySet<string>,
+  highest: number,
+  spared: ReadonlySet<string>,
 ): Preemption | undefined {
   const plans = [...ledger.values()]
     .filter(worker => worker.open && worker.pool === attempt.pool)
-    .map(worker => planFor(worker, attempt, taken))
+    .map(worker => planFor(worker, attempt, highest, spared))
     .filter(plan => plan !== undefined && plan.victims.length > 0)
   return plans.reduce<Preemption | undefined>(
     (best, plan) => (!plan || (best && best.cost <= plan.cost) ? best : plan),
--- a/src/placement/taskqueue.ts
+++ b/src/placement/taskqueue.ts
@@ -1,7 +1,7 @@
 /**
  * The order in which waiting work is offered to worker groups. Urgent work goes first; then work that has waited
- * beyond the starvation limit, oldest first; then the team with the smallest share of the fleet for its weight.
- * Within a team higher priorities go first, and equal ones by age.
+ * beyond the starvation limit, oldest first; then higher priorities, which the document sets for each workload; then
+ * the team with the smallest share of the fleet for its weight; then age.
  *
  * Items of one team, priority and shape form a lane. A lane is passed over as a whole once its head found no room,
  * so that a pass costs as many steps as there are lanes and not as there are items.
@@ -38,7 +38,7 @@
 }
 
 /** An item that has waited this long goes before all that is not urgent. */
-export const STARVATION_LIMIT_MS: Milliseconds = 60_000
+export const STARVATION_LIMIT_MS: Milliseconds = 30_000
 
 function laneKey(item: QueuedItem): string {
   return `${item.team}|${item.priority}|${item.pool}|${shapeKey(item.demand)}`
@@ -59,8 +59,8 @@
 function compare<Item extends QueuedItem>(one: RankedLane<Item>, other: RankedLane<Item>): number {
   if (one.tier !== other.tier) return one.tier - other.tier
   if (one.tier < 2) return one.enqueuedAt - other.enqueuedAt
-  if (one.lane.team !== other.lane.team && one.share !== other.share) return one.share - other.share
   if (one.lane.priority !== other.lane.priority) return other.lane.priority - one.lane.priority
+  if (one.lane.team !== other.lane.team && one.share !== other.share) return one.share - other.share
   return one.enqueuedAt - other.enqueuedAt
 }
 
--- a/src/placement/waitingroom.ts
+++ b/src/placement/waitingroom.ts
@@ -9,6 +9,7 @@
 export interface WaitingAttempt {
   readonly attempt: Attempt
   readonly rank: number
+  /** Instant since which the attempt waits, at its home or here. */
   readonly arrivedAt: Milliseconds
   readonly expiresAt: Milliseconds
 }
