--- a/src/controllers/heldgroups.ts
+++ b/src/controllers/heldgroups.ts
@@ -20,6 +20,8 @@
   readonly epoch: number
   readonly home: JobHome
   readonly keys: KeyRegistry
+  /** Wall-clock time at which the group was taken. */
+  readonly acquiredAt: number
   /** Resolves once the journal was read; false when it could not be. */
   readonly opened: Promise<boolean>
 }
@@ -58,8 +60,9 @@
 
   function acquireJobs(group: string, epoch: number): void {
     const home = ports.createHome(group, epoch)
-    const vouchesFrom = epoch === 1 ? Number.NEGATIVE_INFINITY : ports.wallClock()
-    jobs.set(group, {epoch, home, keys: keyRegistry(vouchesFrom), opened: home.open()})
+    const acquiredAt = ports.wallClock()
+    const vouchesFrom = epoch === 1 ? Number.NEGATIVE_INFINITY : acquiredAt
+    jobs.set(group, {epoch, home, keys: keyRegistry(vouchesFrom), acquiredAt, opened: home.open()})
   }
 
   function acquireWorkers(group: string, epoch: number): void {
--- a/src/entry/peerhandlers.ts
+++ b/src/entry/peerhandlers.ts
@@ -50,6 +50,9 @@
   readonly holdingsOf: (group: string) => ReadonlyMap<string, number>
 }
 
+/** How long after taking a group its keys may still arrive from the former home. */
+const HAND_OVER_WAIT_MS = 400
+
 const NOT_HELD = "this instance does not hold the group now"
 
 function isRefusal(answer: readonly PlacementAnswer[] | Refusal): answer is Refusal {
@@ -125,7 +128,11 @@
   function beginKey(request: BeginKeyRequest): KeyVerdict | undefined {
     const group = held.jobGroup(request.jobGroup)
     if (!group || ownership.epochOf(request.jobGroup) === undefined) return undefined
-    return group.keys.begin(request, ports.wallClock())
+    const now = ports.wallClock()
+    const verdict = group.keys.begin(request, now)
+    // The former home may be about to pass on what it knows: the caller asks again.
+    const mayLearn = verdict.type === "unvouched" && now < group.acquiredAt + HAND_OVER_WAIT_MS
+    return mayLearn ? undefined : verdict
   }
 
   async function handOver(request: HandOverRequest): Promise<void> {
--- a/standins/demo.ts
+++ b/standins/demo.ts
@@ -19,6 +19,7 @@
   readonly environment: string
   readonly seed: number
   readonly json: boolean
+  readonly rolling: boolean
   readonly log?: string
 }
 
@@ -41,6 +42,7 @@
 const FOLLOW_MS: Milliseconds = 12_000
 const READY_WITHIN_MS: Milliseconds = 10_000
 const DEADLINE_MS: Milliseconds = 3000
+const REPLACEMENT_PAUSE_MS: Milliseconds = 300
 
 function requestKind(random: Random): "short" | "long" | "receipt" {
   const draw = random.next()
@@ -147,6 +149,16 @@
   await client.follow(job, FOLLOW_MS + LOAD_MS)
 }
 
+/** Replaces all instances one after another, each by a new one that is started first. */
+async function replaceAll(environment: TrialEnvironment): Promise<void> {
+  const names = [...environment.entries.keys()]
+  for (const [index, name] of names.entries()) {
+    await environment.startEntry(`next-${index + 1}`)
+    await sleep(environment.clock, REPLACEMENT_PAUSE_MS)
+    await environment.stopEntry(name)
+  }
+}
+
 async function disturb(environment: TrialEnvironment): Promise<void> {
   await sleep(environment.clock, KILL_AT_MS)
   await environment.killEntry("entry-3")
@@ -188,6 +200,7 @@
 async function run(
   environment: TrialEnvironment,
   seed: number,
+  rolling: boolean,
 ): Promise<{readonly verdict: Verdict; readonly measures: Measures}> {
   const {clock} = environment
   const startedIn = await startInstances(environment)
@@ -201,7 +214,7 @@
   await Promise.all([
     requestLoad(client, environment, seededRandom(seed + 1)),
     jobLoad(client, environment, seededRandom(seed + 2)),
-    disturb(environment),
+    rolling ? replaceAll(environment) : disturb(environment),
   ])
   done = true
   const seconds = (clock.now() - startedAt) / 1000
@@ -272,6 +285,7 @@
     .option("--environment <name>", "foldwind or korkkreis", "foldwind")
     .option("--seed <number>", "seed of the load", seedArgument, 1)
     .option("--json", "print JSON", false)
+    .option("--rolling", "replace all instances in turn, instead of a crash and a stop", false)
     .option("--log <file>", "write the decision log to a file")
     .parse()
   const options = program.opts<DemoOptions>()
@@ -289,7 +303,7 @@
   const log = destination ? pino({level: "info"}, destination) : pino({level: "silent"})
   const environment = await startTrial(deployment, options.seed, instance => log.child({instance}))
   try {
-    const {verdict, measures} = await run(environment, options.seed)
+    const {verdict, measures} = await run(environment, options.seed, options.rolling)
     if (options.json)
       process.stdout.write(
         `${JSON.stringify({environment: options.environment, seed: options.seed, verdict, measures})}\n`,
