--- a/src/controllers/attemptends.ts
+++ b/src/controllers/attemptends.ts
@@ -5,6 +5,26 @@
 /** `requeue`: another attempt may start now. */
 export type NextMove = "done" | "requeue"
 
+/** What is known of earlier attempts of a task: none started, some may have run, or nothing proves either. */
+export type EarlierAttempts = "none" | "ran" | "unproved"
+
+/** How a task ends that is cancelled while no attempt of it runs. */
+export function resultOfWaiting(earlier: EarlierAttempts): TaskResult {
+  switch (earlier) {
+    case "none":
+      return "not-run"
+    case "ran":
+      return "stopped"
+    case "unproved":
+      return "unknown"
+  }
+}
+
+/** The words that go with such an end. */
+export function detailOfWaiting(result: TaskResult): string {
+  return result === "not-run" ? "it was cancelled before it started" : "it was cancelled between two attempts"
+}
+
 export interface EndDecision {
   readonly steps: readonly JobStep[]
   readonly next: NextMove
@@ -36,8 +56,8 @@
   return ended(end, "unknown", `it may have run on ${end.worker}: ${end.detail}`, at)
 }
 
-/** Decides on one end. `ranBefore` says whether some attempt of the task may have run. */
-export function decideEnd(job: Job, end: AttemptEnd, ranBefore: boolean, at: number): EndDecision {
+/** Decides on one end. */
+export function decideEnd(job: Job, end: AttemptEnd, earlier: EarlierAttempts, at: number): EndDecision {
   const {cancelled, specification} = job
   switch (end.outcome) {
     case "succeeded":
@@ -61,7 +81,8 @@
       const marked = job.tasks[task]?.openAttempt === true
       const steps: readonly JobStep[] = marked ? [{type: "attempt-void", job: name, task}] : []
       if (!cancelled) return {steps, next: "requeue"}
-      const decision = ended(end, ranBefore ? "stopped" : "not-run", "it was cancelled before it started", at)
+      const result = resultOfWaiting(earlier)
+      const decision = ended(end, result, detailOfWaiting(result), at)
       return {steps: [...steps, ...decision.steps], next: "done"}
     }
   }
--- a/src/controllers/groupowner.ts
+++ b/src/controllers/groupowner.ts
@@ -17,6 +17,7 @@
 import {LEAST_RUN_MS, mayPass, preemptiblePriority} from "../placement/precedence.js"
 import {enter, expire, leave} from "../placement/waitingroom.js"
 import type {WaitingRoom} from "../placement/waitingroom.js"
+import {stretched, TASK_LEASE_MS} from "../ownership/timing.js"
 import type {ListedInstance, WorkerGateway} from "../platform/ports.js"
 import {groupWorkers} from "./groupworkers.js"
 import type {GroupWorkers} from "./groupworkers.js"
@@ -137,6 +138,8 @@
   const inFlight = new Set<Promise<unknown>>()
   /** When each pending end is to be reported again. */
   const reports = new Map<string, ReportSchedule>()
+  /** A group without any listed worker is taken to run nothing only after this instant. */
+  const emptyUntil = clock.now() + stretched(TASK_LEASE_MS)
   let room: WaitingRoom = []
   let draining = false
   let closed = false
@@ -500,7 +503,7 @@
       const refusal = checkEpochs(ownerEpoch, jobGroup, homeEpoch)
       if (refusal) return refusal
       return {
-        complete: workers.settled() && workers.ledger().size > 0,
+        complete: workers.settled() && (workers.ledger().size > 0 || clock.now() > emptyUntil),
         running: workers.running().filter(entry => entry.attempt.jobGroup === jobGroup),
         ended: [...workers.pendingEnds().values()].filter(end => end.jobGroup === jobGroup),
       }
--- a/src/controllers/instancelist.ts
+++ b/src/controllers/instancelist.ts
@@ -4,7 +4,7 @@
 import {add, largest, NOTHING} from "../core/resources.js"
 import type {FreeCapacity} from "../membership/table.js"
 import type {InstanceList, ListedInstance} from "../platform/ports.js"
-import type {PoolShape} from "./jobhome.js"
+import type {PoolShape} from "../placement/feasibility.js"
 
 export interface InstanceListController {
   readonly start: () => Promise<void>
@@ -16,6 +16,8 @@
   readonly workerGroups: () => ReadonlyMap<string, readonly ListedInstance[]>
   /** The same groups with what they would offer if all their workers were empty. */
   readonly emptyGroups: () => ReadonlyMap<string, FreeCapacity>
+  /** True for a worker that is listed as leaving. */
+  readonly isLeaving: (worker: string) => boolean
   readonly poolShape: (pool: string) => PoolShape | undefined
 }
 
@@ -83,6 +85,7 @@
   let groups: ReadonlyMap<string, readonly ListedInstance[]> = new Map()
   let empty: ReadonlyMap<string, FreeCapacity> = new Map()
   let shapes: ReadonlyMap<string, PoolShape> = new Map()
+  let leaving: ReadonlySet<string> = new Set()
   let text = ""
   let stopped = false
 
@@ -96,6 +99,7 @@
     groups = groupWorkers(entries)
     empty = new Map([...groups].map(([group, workers]) => [group, emptyGroup(workers)]))
     shapes = shapePools(entries)
+    leaving = new Set(entries.filter(entry => entry.status === "leaving").map(entry => entry.name))
     onChange()
   }
 
@@ -119,6 +123,7 @@
       entries.filter(entry => entry.kind === "entry" && entry.name !== self).map(entry => entry.address),
     workerGroups: () => groups,
     emptyGroups: () => empty,
+    isLeaving: worker => leaving.has(worker),
     poolShape: pool => shapes.get(pool),
   }
 }
--- a/src/controllers/jobhome.ts
+++ b/src/controllers/jobhome.ts
@@ -3,41 +3,38 @@
  * for them. It is rebuilt from the journal and from what the owners of the worker groups hold. A task that was
  * open before is started again only after every owner has told what it has of this job group.
  */
-import {createHash, randomUUID} from "node:crypto"
 import type {Clock, Milliseconds} from "../core/clock.js"
-import {sleep, withTimeout} from "../core/clock.js"
+import {withTimeout} from "../core/clock.js"
 import type {Random} from "../core/random.js"
 import {add, fits, scale} from "../core/resources.js"
 import type {Resources} from "../core/resources.js"
 import type {EnvironmentDocument} from "../document/model.js"
 import type {Attempt, AttemptEnd} from "../jobs/attempt.js"
 import {resultOf} from "../jobs/job.js"
-import type {Job, JobSpecification, JobStep, Task, TaskResult} from "../jobs/job.js"
-import {readJobRequest} from "../jobs/request.js"
-import {effectiveDemand, learn, NO_ESTIMATE, stragglers} from "../placement/learning.js"
+import type {Job, JobStep, Task} from "../jobs/job.js"
+import {effectiveDemand, learn, NO_ESTIMATE} from "../placement/learning.js"
 import type {WorkloadEstimate} from "../placement/learning.js"
 import type {GroupChoice} from "../placement/groupchoice.js"
+import type {PoolShape} from "../placement/feasibility.js"
 import type {GroupIndex} from "../placement/passplan.js"
 import type {Store} from "../platform/ports.js"
-import {decideEnd} from "./attemptends.js"
+import {decideEnd, detailOfWaiting, resultOfWaiting} from "./attemptends.js"
+import type {EarlierAttempts} from "./attemptends.js"
 import type {TrackedAttempt} from "./attempttracker.js"
 import {dispatcher, taskName} from "./dispatcher.js"
 import type {ReachableGroup, WaitingTask} from "./dispatcher.js"
 import {gangs} from "./gangs.js"
 import type {WaitingGang} from "./gangs.js"
-import {describeJob, invalidJob, noSuchJob, problem, taskState} from "./jobanswers.js"
+import {describeJob, noSuchJob, problem, taskState} from "./jobanswers.js"
 import type {JobAnswer, TaskAnswer} from "./jobanswers.js"
 import {jobBook} from "./jobbook.js"
+import {jobIntake} from "./jobintake.js"
+import {recoverJobs} from "./jobrecovery.js"
+import {jobUpkeep} from "./jobupkeep.js"
 import {journal as createJournal} from "./journal.js"
 import type {Logger} from "./logger.js"
 import type {PlacedAttempt, PlacementClient} from "./placementclient.js"
 
-/** The largest worker of a pool and the sum of all its workers. */
-export interface PoolShape {
-  readonly largestWorker: Resources
-  readonly workers: readonly Resources[]
-}
-
 export interface JobHomePorts {
   readonly clock: Clock
   readonly random: Random
@@ -52,6 +49,8 @@
   /** Every worker group that exists, with or without a known owner. */
   readonly groupNames: () => readonly string[]
   readonly poolShape: (pool: string) => PoolShape | undefined
+  /** True while the worker is about to leave. */
+  readonly isLeaving: (worker: string) => boolean
   readonly mayAct: () => boolean
   readonly storeIsReachable: () => boolean
 }
@@ -71,55 +70,10 @@
   readonly close: () => void
 }
 
-const RECOVERY_RETRY_MS: Milliseconds = 300
 const COMPACT_AFTER_CHUNKS = 48
 const MAINTENANCE_MS: Milliseconds = 1000
-const FORGET_AFTER_MS: Milliseconds = 24 * 3_600_000
-const KEPT_JOBS = 4000
 const DURABLE_WAIT_MS: Milliseconds = 400
 const ACCEPT_WAIT_MS: Milliseconds = 3000
-const IMPOSSIBLE_AFTER_MS: Milliseconds = 30_000
-const LARGEST_MOVES_PER_TASK = 1
-const KEY_LENGTH = 24
-
-/** The name of a job: its group, so that any instance finds its home, and a part that is the same for equal keys. */
-function nameFor(jobGroup: string, key: string): string {
-  const index = jobGroup.slice(jobGroup.indexOf("/") + 1)
-  const part =
-    key === ""
-      ? randomUUID().replaceAll("-", "").slice(0, KEY_LENGTH)
-      : createHash("sha256").update(key).digest("hex").slice(0, KEY_LENGTH)
-  return `${index}-${part}`
-}
-
-/** Why no worker of the pool could ever hold the job; undefined when one could. */
-export function impossibility(
-  specification: JobSpecification,
-  shape: PoolShape | undefined,
-): string | undefined {
-  const {demand, pool, kind, tasks} = specification
-  if (!shape || shape.workers.length === 0)
-    return `the pool ${pool} has no workers; name a pool that has some`
-  if (!shape.workers.some(worker => fits(demand, worker))) {
-    const {processors, memoryMebibytes, accelerators} = shape.largestWorker
-    return `no worker of pool ${pool} is large enough: at most ${processors} processors, ${memoryMebibytes} MiB and ${accelerators} accelerators fit`
-  }
-  if (kind !== "gang") return undefined
-  const places = shape.workers.reduce((sum, worker) => sum + placesOn(worker, demand), 0)
-  return places >= tasks
-    ? undefined
-    : `the pool ${pool} holds at most ${places} such tasks at once, not ${tasks}`
-}
-
-function placesOn(worker: Resources, demand: Resources): number {
-  const times = (has: number, needs: number): number =>
-    needs > 0 ? Math.floor(has / needs) : Number.POSITIVE_INFINITY
-  return Math.min(
-    times(worker.processors, demand.processors),
-    times(worker.memoryMebibytes, demand.memoryMebibytes),
-    times(worker.accelerators, demand.accelerators),
-  )
-}
 
 /** Creates the home for one epoch of the job group. */
 export function jobHome(jobGroup: string, epoch: number, ports: JobHomePorts): JobHome {
@@ -132,9 +86,6 @@
   const unproved = new Set<string>()
   const endsInProgress = new Map<string, Promise<unknown>>()
   const estimates = new Map<string, WorkloadEstimate>()
-  const moves = new Map<string, number>()
-  const impossibleSince = new Map<string, Milliseconds>()
-  const accepting = new Map<string, Promise<unknown>>()
   let sequence = 0
   let isRecovered = false
   let draining = false
@@ -201,6 +152,32 @@
     return effectiveDemand(declared, estimates.get(workload) ?? NO_ESTIMATE, most)
   }
 
+  const keepUp = jobUpkeep({
+    clock,
+    log,
+    jobGroup,
+    book,
+    work,
+    gangWork,
+    poolShape: ports.poolShape,
+    estimateOf: workload => estimates.get(workload),
+    isLeaving: ports.isLeaving,
+    minimumAvailable: workload => ports.document()?.workloads.get(workload)?.minimumAvailable ?? 0,
+    endOfWaiting,
+  })
+
+  const submit = jobIntake({
+    clock,
+    log,
+    jobGroup,
+    book,
+    document: ports.document,
+    poolShape: ports.poolShape,
+    storeIsReachable: ports.storeIsReachable,
+    describe,
+    onAccepted: enqueueAccepted,
+  })
+
   async function recordMayStart(items: readonly WaitingTask[]): Promise<boolean> {
     if (!ports.storeIsReachable()) return false
     const steps: JobStep[] = items.map(item => ({type: "may-start", job: item.job, tasks: [item.task]}))
@@ -263,8 +240,13 @@
     if (task) enqueueTask(job, task)
   }
 
-  function mayHaveRun(job: Job, index: number): boolean {
-    return (job.tasks[index]?.attempts ?? 0) > 0 || started.has(taskName(job.specification.job, index))
+  /** What is known of the attempts of a task that came before the present one. */
+  function earlierAttempts(job: Job, index: number): EarlierAttempts {
+    const name = job.specification.job
+    const task = job.tasks[index]
+    const present = task?.openAttempt === true && !job.specification.restartable ? 1 : 0
+    if ((task?.attempts ?? 0) > present || started.has(taskName(name, index))) return "ran"
+    return unproved.has(name) && !isProvedFresh ? "unproved" : "none"
   }
 
   /** Applies the end of an attempt. Resolves when what follows from it is durable. */
@@ -277,7 +259,7 @@
     const inherited = !isRecovered && unproved.has(end.job)
     if ((!entry && !inherited) || !job || !isOpen(job, end.task)) return Promise.resolve()
     if (ran && end.ranFor > 0) learnFrom(job, end)
-    const decision = decideEnd(job, end, mayHaveRun(job, end.task), clock.wallClock())
+    const decision = decideEnd(job, end, earlierAttempts(job, end.task), clock.wallClock())
     logEnd(end, decision.next)
     const durable = decision.steps.length > 0 ? book.record(...decision.steps) : Promise.resolve()
     const next = book.get(end.job)
@@ -402,75 +384,6 @@
     if (refusedSome) work.stop(work.tracker().ofJob(gang.job), false)
   }
 
-  async function submit(key: string, body: unknown): Promise<JobAnswer> {
-    const document = ports.document()
-    if (!document)
-      return problem(503, "no-configuration", "No document is in force yet", "Try again soon.", "not-run")
-    const team =
-      typeof body === "object" && body !== null ? String((body as {readonly team?: unknown}).team) : ""
-    const name = nameFor(jobGroup, key === "" ? "" : `${team}\n${key}`)
-    const read = readJobRequest(body, name, document, clock.wallClock())
-    if (read.isErr()) return invalidJob(read.error)
-    const specification = read.value
-    const known = book.get(name)
-    if (known) return repeated(known, specification)
-    const never = impossibility(specification, ports.poolShape(specification.pool))
-    if (never !== undefined) return problem(422, "never-runnable", "The job can never run", never, "not-run")
-    if (!ports.storeIsReachable()) {
-      const detail =
-        "The platform's store does not answer, so the job cannot be made durable. Try again later."
-      return problem(503, "store-unavailable", "The job was not accepted", detail, "not-run")
-    }
-    return accept(specification)
-  }
-
-  async function repeated(known: Job, specification: JobSpecification): Promise<JobAnswer> {
-    const name = specification.job
-    if (known.specification.requestDigest !== specification.requestDigest) {
-      const detail = "The idempotency key belongs to a job with a different request."
-      return problem(422, "key-reused", "The idempotency key was used before", detail, "not-run")
-    }
-    const durable = accepting.get(name)
-    if (durable) await withTimeout(clock, durable, ACCEPT_WAIT_MS, undefined)
-    if (accepting.has(name)) return unclearAcceptance()
-    return {status: 200, body: describe(known)}
-  }
-
-  function unclearAcceptance(): JobAnswer {
-    const detail = "Whether the job was written down is not known yet. Repeat the request with the same key."
-    return problem(503, "acceptance-unknown", "The job may have been accepted", detail, "unknown")
-  }
-
-  async function accept(specification: JobSpecification): Promise<JobAnswer> {
-    const name = specification.job
-    const durable = book.record({type: "accepted", specification})
-    accepting.set(name, durable)
-    const result = await withTimeout(clock, durable, ACCEPT_WAIT_MS, undefined)
-    if (!result) {
-      void durable.then(late => {
-        accepting.delete(name)
-        if (late.isOk()) enqueueAccepted(name)
-      })
-      return unclearAcceptance()
-    }
-    accepting.delete(name)
-    if (result.isErr()) return unclearAcceptance()
-    enqueueAccepted(name)
-    const job = book.get(name)
-    log.info(
-      {
-        event: "job-accepted",
-        jobGroup,
-        job: name,
-        team: specification.team,
-        workload: specification.workload,
-        tasks: specification.tasks,
-      },
-      "accepted a job",
-    )
-    return job ? {status: 202, body: describe(job)} : unclearAcceptance()
-  }
-
   function enqueueAccepted(name: string): void {
     const job = book.get(name)
     if (job && !job.cancelled && !closed && !draining) enqueueJob(job)
@@ -535,15 +448,10 @@
     return {status: 200, body: describe(next)}
   }
 
-  function endOfWaiting(job: Job, task: Task): JobStep {
+  function endOfWaiting(job: Job, task: Task): Extract<JobStep, {type: "task-ended"}> {
     const name = job.specification.job
-    const result: TaskResult = mayHaveRun(job, task.index)
-      ? "stopped"
-      : unproved.has(name) && !isProvedFresh
-        ? "unknown"
-        : "not-run"
-    const detail =
-      result === "not-run" ? "it was cancelled before it started" : "it was cancelled between two attempts"
+    const result = resultOfWaiting(earlierAttempts(job, task.index))
+    const detail = detailOfWaiting(result)
     return {type: "task-ended", job: name, task: task.index, result, detail, at: clock.wallClock()}
   }
 
@@ -559,148 +467,39 @@
       {event: "home-opened", jobGroup, epoch, jobs: book.size(), open: unproved.size},
       "read the journal of a job group",
     )
-    void recover()
+    void recoverJobs(
+      {
+        clock,
+        client: ports.client,
+        groups: ports.groups,
+        groupNames: ports.groupNames,
+        book,
+        work,
+        unproved,
+        isClosed: () => closed,
+        trackedFor,
+        noteStarted: (job, task) => started.add(taskName(job, task)),
+        takeEnd,
+        enqueueJob,
+        endOfWaiting,
+      },
+      noteRecovered,
+    )
     maintain()
     return true
   }
 
-  async function inventoryOf(name: string): Promise<boolean> {
-    const group = ports.groups.named(name)
-    if (!group) return false
-    const reply = await ports.client.inventory(name, group.owner)
-    if (reply.isErr() || reply.value.refusal !== "") return false
-    for (const {attempt, worker} of reply.value.running) adopt(group, attempt, worker)
-    for (const end of reply.value.ended) void takeEnd(end)
-    return reply.value.complete
-  }
-
-  function adopt(group: ReachableGroup, attempt: Attempt, worker: string): void {
-    if (work.tracker().get(attempt.attempt)) return
-    started.add(taskName(attempt.job, attempt.task))
-    const entry: TrackedAttempt = {
-      ...trackedFor(attempt),
-      group: group.group,
-      ownerEpoch: group.owner.epoch,
-      phase: "running",
-      worker,
-    }
-    work.tracker().track(entry)
-    const job = book.get(attempt.job)
-    if (!job || job.cancelled || !isOpen(job, attempt.task)) work.stop([entry], false)
-  }
-
-  async function recover(): Promise<void> {
-    const missing = new Set(ports.groupNames())
-    if (unproved.size > 0) {
-      while (missing.size > 0 && !closed) {
-        for (const name of [...missing]) {
-          if (await inventoryOf(name)) missing.delete(name)
-        }
-        if (missing.size === 0) break
-        await sleep(clock, RECOVERY_RETRY_MS)
-        for (const name of [...missing]) if (!ports.groupNames().includes(name)) missing.delete(name)
-      }
-    }
-    if (closed) return
+  function noteRecovered(): void {
     isRecovered = true
-    for (const name of unproved) {
-      const job = book.get(name)
-      if (job && resultOf(job) === "open") resume(job)
-    }
-    log.info(
-      {event: "home-recovered", jobGroup, epoch, inFlight: work.tracker().size()},
-      "knows what runs of a job group",
-    )
-  }
-
-  /** Goes on with a job of an earlier home. An at-most-once attempt that nobody knows of is never repeated. */
-  function resume(job: Job): void {
-    const {job: name, restartable} = job.specification
-    const at = clock.wallClock()
-    for (const task of job.tasks) {
-      if (task.result !== undefined || work.tracker().ofTask(name, task.index)) continue
-      if (task.openAttempt && !restartable) {
-        const detail = "it may have started, and its owner and its home are gone"
-        void book.record({type: "task-ended", job: name, task: task.index, result: "unknown", detail, at})
-      } else if (job.cancelled) void book.record(endOfWaiting(job, task))
-    }
-    const next = book.get(name)
-    if (next && !next.cancelled && next.endedAt === 0) enqueueJob(next)
-  }
-
-  /** Ends jobs that the fleet cannot hold any more, once that has lasted. */
-  function endImpossible(): void {
-    for (const job of book.all()) {
-      const {job: name, pool} = job.specification
-      if (job.endedAt > 0 || job.cancelled || work.tracker().ofJob(name).length > 0) continue
-      const never = impossibility(job.specification, ports.poolShape(pool))
-      if (never === undefined) {
-        impossibleSince.delete(name)
-        continue
-      }
-      const since = impossibleSince.get(name) ?? clock.now()
-      impossibleSince.set(name, since)
-      if (clock.now() < since + IMPOSSIBLE_AFTER_MS) continue
-      gangWork.withdraw(name)
-      for (const task of job.tasks) {
-        if (task.result !== undefined) continue
-        work.withdraw(name, task.index)
-        void book.record({
-          ...(endOfWaiting(job, task) as Extract<JobStep, {type: "task-ended"}>),
-          detail: never,
-        })
-      }
-    }
-  }
-
-  /** Checkpoints attempts that run much longer than their siblings did, so that they go on elsewhere. */
-  function moveStragglers(): void {
-    const byJob = new Map<string, TrackedAttempt[]>()
-    for (const entry of work.tracker().all()) {
-      const {attempt} = entry
-      const movable =
-        entry.phase === "running" &&
-        attempt.checkpointable &&
-        attempt.kind === "batch" &&
-        entry.stopWanted === "none"
-      const moved = moves.get(taskName(attempt.job, attempt.task)) ?? 0
-      if (movable && moved < LARGEST_MOVES_PER_TASK)
-        byJob.set(attempt.workload, [...(byJob.get(attempt.workload) ?? []), entry])
-    }
-    for (const [workload, entries] of byJob) {
-      const siblings = entries.map(entry => ({
-        attempt: entry.attempt.attempt,
-        ranFor: clock.now() - entry.since,
-      }))
-      for (const name of stragglers(siblings, estimates.get(workload) ?? NO_ESTIMATE)) {
-        const entry = work.tracker().get(name)
-        if (!entry) continue
-        const task = taskName(entry.attempt.job, entry.attempt.task)
-        moves.set(task, (moves.get(task) ?? 0) + 1)
-        log.info({event: "straggler", jobGroup, attempt: name, worker: entry.worker}, "moves a straggler")
-        work.stop([entry], true)
-      }
-    }
-  }
-
-  function forgetOld(): void {
-    const ended = [...book.all()].filter(job => job.endedAt > 0)
-    const limit = clock.wallClock() - FORGET_AFTER_MS
-    const surplus = Math.max(0, ended.length - KEPT_JOBS)
-    ended.sort((one, other) => one.endedAt - other.endedAt)
-    ended.forEach((job, index) => {
-      if (job.endedAt >= limit && index >= surplus) return
-      void book.record({type: "forgotten", job: job.specification.job})
-    })
+    const inFlight = work.tracker().size()
+    log.info({event: "home-recovered", jobGroup, epoch, inFlight}, "knows what runs of a job group")
   }
 
   function maintain(): void {
     if (closed) return
-    endImpossible()
-    if (isRecovered) moveStragglers()
-    forgetOld()
-    if (journal.chunksSinceSnapshot() >= COMPACT_AFTER_CHUNKS && ports.storeIsReachable())
-      void journal.compact(book.snapshot)
+    keepUp(isRecovered)
+    const due = journal.chunksSinceSnapshot() >= COMPACT_AFTER_CHUNKS && ports.storeIsReachable()
+    if (due) void journal.compact(book.snapshot)
     clock.after(MAINTENANCE_MS, maintain)
   }
 
--- a/src/controllers/journal.ts
+++ b/src/controllers/journal.ts
@@ -143,7 +143,7 @@
   }
 
   async function open(): Promise<Result<readonly JobStep[], JournalError>> {
-    const opening = newChunk([])
+    const opening = newChunk([{type: "opened", job: ""}])
     for (let attempt = 0; attempt < OPEN_ATTEMPTS && !lost; attempt += 1) {
       const steps = await readAll()
       if (steps.isOk() && steps.value) {
--- a/src/entry/core.ts
+++ b/src/entry/core.ts
@@ -9,7 +9,7 @@
 import {configurationController} from "../controllers/configuration.js"
 import type {Configuration, DocumentInForce} from "../controllers/configuration.js"
 import {groupOwner} from "../controllers/groupowner.js"
-import {heldGroups} from "../controllers/heldgroups.js"
+import {heldGroups, isJobGroup} from "../controllers/heldgroups.js"
 import type {HeldGroups} from "../controllers/heldgroups.js"
 import {instanceListController} from "../controllers/instancelist.js"
 import type {InstanceListController} from "../controllers/instancelist.js"
@@ -115,9 +115,15 @@
     return document()?.jobGroups ?? 0
   }
 
+  /** Worker groups that the list names, and those that were ever held: the list may lag. */
+  function workerGroupNames(): readonly string[] {
+    const stored = [...ownership.view().groups.keys()].filter(group => !isJobGroup(group))
+    return [...new Set([...list.workerGroups().keys(), ...stored])]
+  }
+
   function allGroups(): readonly string[] {
     const jobs = Array.from({length: jobGroupCount()}, (_, index) => `j/${index}`)
-    return [...list.workerGroups().keys(), ...jobs]
+    return [...workerGroupNames(), ...jobs]
   }
 
   function ownClaims(): readonly Claim[] {
@@ -253,8 +259,9 @@
         instance,
         document,
         groups: routes.workerGroups,
-        groupNames: () => [...list.workerGroups().keys()],
+        groupNames: workerGroupNames,
         poolShape: list.poolShape,
+        isLeaving: list.isLeaving,
         mayAct,
         storeIsReachable: () => !store.statistics().open,
       })
--- a/src/entry/whatif.ts
+++ b/src/entry/whatif.ts
@@ -1,6 +1,6 @@
 /** Says in words what a document would do to what runs and waits now, without changing anything. */
 import type {HeldGroups} from "../controllers/heldgroups.js"
-import type {PoolShape} from "../controllers/jobhome.js"
+import type {PoolShape} from "../placement/feasibility.js"
 import {add, describeResources, fits, NOTHING} from "../core/resources.js"
 import type {Resources} from "../core/resources.js"
 import type {EnvironmentDocument} from "../document/model.js"
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -58,6 +58,8 @@
   | {readonly type: "attempt-void"; readonly job: string; readonly task: number}
   /** Written by a holder that leaves as planned: every task that may have started is marked. */
   | {readonly type: "marks-complete"; readonly job: ""}
+  /** A new holder has opened the journal: what was complete before need not be so any more. */
+  | {readonly type: "opened"; readonly job: ""}
   | {
       readonly type: "task-ended"
       readonly job: string
@@ -122,6 +124,7 @@
         attempts: Math.max(0, task.attempts - 1),
       }))
     case "marks-complete":
+    case "opened":
       return job
     case "task-ended":
       return end(job, step)
--- a/test/failures/ownership.test.ts
+++ b/test/failures/ownership.test.ts
@@ -84,6 +84,41 @@
   cluster.close()
 })
 
+test("after a home has died a waiting task is not said not to have run without proof", async t => {
+  const cluster = await readyCluster({...SMALL, seed: 15})
+  const filler = await cluster.submit(job("red", "batch", 64, 60_000))
+  await cluster.advance(2000)
+  const waiting = await cluster.submit(job("red", "batch", 4, 1000))
+  await cluster.advance(500)
+  const home = homeOf(cluster, waiting.body.job)
+  if (home) cluster.kill(home)
+  await cluster.advance(8000)
+  await cluster.cancel(waiting.body.job)
+  await cluster.cancel(filler.body.job)
+  await cluster.advance(3000)
+  const states = (await cluster.get(waiting.body.job)).tasks.map(task => task.state)
+  t.false(states.includes("not-run"), states.join(" "))
+  t.deepEqual(cluster.violations(), [])
+  cluster.close()
+})
+
+test("a service's replicas leave a worker that leaves, one after another, and never run twice", async t => {
+  const cluster = await readyCluster({...SMALL, seed: 16})
+  const accepted = await cluster.submit(job("green", "service", 3, 0))
+  await cluster.advance(3000)
+  const leaving = cluster.truth.tasks()[0]?.worker ?? ""
+  const listed = cluster.list.read().find(entry => entry.name === leaving)
+  if (listed) cluster.list.put({...listed, status: "leaving"})
+  cluster.list.settle()
+  await cluster.advance(10_000)
+  t.deepEqual(cluster.workers.get(leaving)?.running(), [])
+  const open = cluster.truth.tasks().filter(run => run.endedAt === undefined)
+  t.is(open.length, 3)
+  t.deepEqual(cluster.violations(), [])
+  await cluster.cancel(accepted.body.job)
+  cluster.close()
+})
+
 test("a placement whose reply is lost is settled before the task starts again", async t => {
   const cluster = await readyCluster({...SMALL, seed: 13})
   cluster.lostPeerReplies.set("place", 3)
