--- a/src/cli/documents.ts
+++ b/src/cli/documents.ts
@@ -19,24 +19,23 @@
   readonly json: boolean
 }
 
-function readFile(file: string): Result<string, string> {
+/** The text of a file; undefined, and a line for the operator, when it cannot be read. */
+function readFile(file: string, output: Output): string | undefined {
   try {
-    return ok(readFileSync(file, "utf8"))
+    return readFileSync(file, "utf8")
   } catch (error) {
-    return err(`${file}: the file cannot be read: ${describeError(error)}.`)
+    output.error(`${file}: the file cannot be read: ${describeError(error)}.`)
+    return undefined
   }
 }
 
 /** `check DOCUMENT`: every finding of a document, or its digest. */
 export function checkDocument(file: string, options: DocumentOptions, output: Output): ExitCode {
-  const content = readFile(file)
-  if (content.isErr()) {
-    output.error(content.error)
-    return EXIT.invalid
-  }
-  const read = readDocument(file, content.value)
+  const content = readFile(file, output)
+  if (content === undefined) return EXIT.invalid
+  const read = readDocument(file, content)
   const findings = read.isErr() ? read.error : []
-  const digest = documentDigest(content.value)
+  const digest = documentDigest(content)
   if (options.json) output.line(JSON.stringify({file, digest, findings}))
   else if (findings.length > 0) for (const finding of findings) output.error(formatFinding(finding))
   else output.line(`${file}: no findings, digest ${digest}`)
@@ -45,13 +44,10 @@
 
 /** `diff BEFORE AFTER`: the keys that differ between two documents. */
 export function diffFiles(before: string, after: string, options: DocumentOptions, output: Output): ExitCode {
-  const one = readFile(before)
-  const other = readFile(after)
-  if (one.isErr() || other.isErr()) {
-    for (const read of [one, other]) if (read.isErr()) output.error(read.error)
-    return EXIT.invalid
-  }
-  const changes = diffDocuments(one.value, other.value)
+  const one = readFile(before, output)
+  const other = readFile(after, output)
+  if (one === undefined || other === undefined) return EXIT.invalid
+  const changes = diffDocuments(one, other)
   if (options.json) output.line(JSON.stringify({changes}))
   else if (changes.length === 0) output.line("no differences")
   else for (const change of changes) output.line(formatChange(change))
@@ -65,12 +61,9 @@
   options: DocumentOptions,
   output: Output,
 ): Promise<ExitCode> {
-  const content = readFile(file)
-  if (content.isErr()) {
-    output.error(content.error)
-    return EXIT.invalid
-  }
-  const reply = await client.call("POST", "/documents/trial", {text: content.value})
+  const content = readFile(file, output)
+  if (content === undefined) return EXIT.invalid
+  const reply = await client.call("POST", "/documents/trial", {text: content})
   if (reply.isErr()) {
     output.error(reply.error.message)
     return EXIT.unreachable
@@ -136,13 +129,10 @@
   options: PromoteOptions,
   output: Output,
 ): Promise<ExitCode> {
-  const content = readFile(file)
-  if (content.isErr()) {
-    output.error(content.error)
-    return EXIT.invalid
-  }
+  const content = readFile(file, output)
+  if (content === undefined) return EXIT.invalid
   if (trial) {
-    const tried = await wasAcceptedInTrial(trial, content.value)
+    const tried = await wasAcceptedInTrial(trial, content)
     if (tried.isErr()) {
       output.error(`The trial environment cannot be asked: ${tried.error}`)
       return EXIT.unreachable
@@ -153,7 +143,7 @@
     }
   }
   const baseNumber = options.base ?? (await currentNumber(client))
-  const proposal = {text: content.value, baseNumber, operator: options.operator, proposal: randomUUID()}
+  const proposal = {text: content, baseNumber, operator: options.operator, proposal: randomUUID()}
   const reply = await client.call("POST", "/documents", proposal)
   if (reply.isErr()) {
     output.error(reply.error.message)
--- a/src/controllers/configuration.ts
+++ b/src/controllers/configuration.ts
@@ -77,14 +77,23 @@
   readonly network: PeerNetwork
   readonly log: Logger
   readonly instance: string
+  readonly dataCentre: string
   readonly members: () => readonly Member[]
   readonly onChange: (document: DocumentInForce) => void
 }
 
+export interface WaitingDocument {
+  readonly number: number
+  /** Why it is held back although its time has come; empty while its time has not come. */
+  readonly heldBecause: string
+}
+
 export interface Configuration {
   readonly start: () => Promise<void>
   readonly stop: () => void
   readonly current: () => DocumentInForce | undefined
+  /** An accepted document that takes force here later, because other data centres go first. */
+  readonly waiting: () => WaitingDocument | undefined
   readonly propose: (proposal: Proposal) => Promise<Result<AcceptedDocument, ProposalError>>
   readonly history: () => Promise<Result<readonly AcceptedDocument[], StoreUnavailable>>
 }
@@ -107,11 +116,31 @@
 export function configurationController(ports: ConfigurationPorts): Configuration {
   const {clock, store, network, log} = ports
   let current: DocumentInForce | undefined
+  let pending: DocumentInForce | undefined
   let stopped = false
 
-  /** Takes a document if its number is higher than the one in force. */
+  function newestNumber(): number {
+    return Math.max(current?.number ?? 0, pending?.number ?? 0)
+  }
+
+  function putInForce(next: DocumentInForce): void {
+    current = next
+    pending = undefined
+    const {number, digest} = next
+    log.info({event: "document-in-force", number, digest}, "a document is in force")
+    ports.onChange(next)
+  }
+
+  /** True while other data centres run the document first. An instance without any document takes it at once. */
+  function goesLater(next: DocumentInForce): boolean {
+    const {first, hold} = next.document.rollout
+    const later = current !== undefined && first.length > 0 && !first.includes(ports.dataCentre)
+    return later && clock.wallClock() < next.acceptedAt + hold
+  }
+
+  /** Takes a document if its number is higher than every one known here. */
   function adopt(accepted: AcceptedDocument): void {
-    if (current && accepted.number <= current.number) return
+    if (accepted.number <= newestNumber()) return
     const document = readDocument(`document ${accepted.number}`, accepted.text)
     if (document.isErr()) {
       log.error(
@@ -120,12 +149,30 @@
       )
       return
     }
-    current = {...accepted, document: document.value}
-    log.info(
-      {event: "document-in-force", number: accepted.number, digest: accepted.digest},
-      "a document is in force",
-    )
-    ports.onChange(current)
+    const next = {...accepted, document: document.value}
+    if (!goesLater(next)) {
+      putInForce(next)
+      return
+    }
+    pending = next
+    log.info({event: "document-waiting", number: next.number}, "a document takes force here later")
+  }
+
+  /** Why the data centres that went first speak against the document; empty when they do not. */
+  function objection(next: DocumentInForce): string {
+    const {first, maximumFailureShare} = next.document.rollout
+    const worse = ports
+      .members()
+      .filter(member => first.includes(member.dataCentre) && member.documentNumber >= next.number)
+      .find(member => member.failureShare > maximumFailureShare)
+    if (!worse) return ""
+    const share = (worse.failureShare * 100).toFixed(0)
+    return `${share} % of the requests at ${worse.instance} were not answered, more than maximum_failure_share`
+  }
+
+  /** Puts a waiting document in force once its time has come, unless the first data centres are worse for it. */
+  function releaseWaiting(): void {
+    if (pending && !goesLater(pending) && objection(pending) === "") putInForce(pending)
   }
 
   function adoptText(text: string): void {
@@ -158,7 +205,8 @@
   async function gossipLoop(): Promise<void> {
     while (!stopped) {
       const newest = newestMember()
-      if (newest && newest.documentNumber > (current?.number ?? 0)) await fetchFrom(newest.instance)
+      if (newest && newest.documentNumber > newestNumber()) await fetchFrom(newest.instance)
+      releaseWaiting()
       await sleep(clock, IDLE_MS)
     }
   }
@@ -269,6 +317,11 @@
       stopped = true
     },
     current: () => current,
+    waiting() {
+      if (!pending) return undefined
+      const heldBecause = goesLater(pending) ? "" : objection(pending)
+      return {number: pending.number, heldBecause}
+    },
     propose,
     async history() {
       const kept = await store.list(DOCUMENT_HISTORY_PREFIX)
--- a/src/controllers/gangs.ts
+++ b/src/controllers/gangs.ts
@@ -10,7 +10,7 @@
 import type {GroupIndex} from "../placement/passplan.js"
 import type {ReachableGroup} from "./dispatcher.js"
 import type {Logger} from "./logger.js"
-import type {PlacementClient, PlacedAttempt} from "./placementclient.js"
+import type {PlacementClient, PlacedAttempt, PlaceMode} from "./placementclient.js"
 
 export interface WaitingGang {
   readonly job: string
@@ -100,20 +100,21 @@
     return [...ports.groups.ofPool(gang.pool)].sort((one, other) => (one.group < other.group ? -1 : 1))
   }
 
+  function ask(
+    gang: WaitingGang,
+    mode: PlaceMode,
+    {group, attempts}: Placed,
+  ): ReturnType<PlacementClient["place"]> {
+    const order = {group: group.group, owner: group.owner, rank: rankOf(gang), reservation: gang.job}
+    return client.place({...order, mode, attempts, wait: 0, waited: 0})
+  }
+
   async function reserveAt(
     gang: WaitingGang,
     group: ReachableGroup,
     attempts: readonly Attempt[],
   ): Promise<readonly Attempt[]> {
-    const order = {
-      group: group.group,
-      owner: group.owner,
-      wait: 0,
-      waited: 0,
-      rank: rankOf(gang),
-      reservation: gang.job,
-    }
-    const reply = await client.place({...order, mode: "reserve", attempts})
+    const reply = await ask(gang, "reserve", {group, attempts})
     if (reply.isErr()) return []
     const reserved = new Set(
       reply.value.placements.filter(entry => entry.result === "reserved").map(entry => entry.attempt),
@@ -122,20 +123,7 @@
   }
 
   async function release(gang: WaitingGang, placed: readonly Placed[]): Promise<void> {
-    await Promise.all(
-      placed.map(({group, attempts}) =>
-        client.place({
-          group: group.group,
-          owner: group.owner,
-          mode: "release",
-          attempts,
-          wait: 0,
-          waited: 0,
-          rank: 0,
-          reservation: gang.job,
-        }),
-      ),
-    )
+    await Promise.all(placed.map(entry => ask(gang, "release", entry)))
   }
 
   async function reserveAll(
@@ -169,15 +157,7 @@
   }
 
   async function commitAt(gang: WaitingGang, {group, attempts}: Placed): Promise<readonly PlacedAttempt[]> {
-    const order = {
-      group: group.group,
-      owner: group.owner,
-      wait: 0,
-      waited: 0,
-      rank: rankOf(gang),
-      reservation: gang.job,
-    }
-    const reply = await client.place({...order, mode: "commit", attempts})
+    const reply = await ask(gang, "commit", {group, attempts})
     const all = (result: string, reason: string): readonly PlacedAttempt[] =>
       attempts.map(({attempt}) => ({attempt, result, worker: "", reason}))
     if (reply.isErr())
--- a/src/document/read.ts
+++ b/src/document/read.ts
@@ -151,6 +151,14 @@
     )
   }
   for (const service of document.services.values()) {
+    if (service.connections < service.slots) {
+      fields.report(
+        `service.${service.name}`,
+        "connections",
+        "There are fewer connections than slots.",
+        "Give at least one for each slot.",
+      )
+    }
     if (service.deadline <= document.limits.maximumDeadline) continue
     const remedy = "Lower it, or raise maximum_deadline in [limits]."
     fields.report(`service.${service.name}`, "deadline", "The deadline is above maximum_deadline.", remedy)
--- a/src/entry/callerserver.ts
+++ b/src/entry/callerserver.ts
@@ -16,6 +16,7 @@
 import type {JobAnswer} from "../controllers/jobanswers.js"
 import {problem} from "../controllers/jobanswers.js"
 import {sendProblem} from "../filters/answers.js"
+import {listen} from "../platform/listen.js"
 import type {Exchange} from "../filters/filter.js"
 import type {TlsFiles} from "../settings/settings.js"
 import type {JobCalls} from "./jobcalls.js"
@@ -218,7 +219,7 @@
 }
 
 /** Starts to serve callers on `host:port`; port 0 takes a free one. */
-export function serveCallers(
+export async function serveCallers(
   ports: CallerServerPorts,
   listenAddress: string,
   tls: TlsFiles | undefined,
@@ -283,14 +284,6 @@
     await closed
   }
 
-  const separator = listenAddress.lastIndexOf(":")
-  const host = listenAddress.slice(0, separator)
-  return new Promise((resolve, reject) => {
-    server.once("error", reject)
-    server.listen(Number(listenAddress.slice(separator + 1)), host, () => {
-      const bound = server.address()
-      const port = typeof bound === "object" && bound !== null ? bound.port : 0
-      resolve({address: `${host}:${port}`, open: () => open, close})
-    })
-  })
+  const address = await listen(server, listenAddress)
+  return {address, open: () => open, close}
 }
--- a/src/entry/core.ts
+++ b/src/entry/core.ts
@@ -159,6 +159,7 @@
     network,
     log,
     instance,
+    dataCentre,
     members: () => membership.active(),
     onChange: adoptDocument,
   })
--- a/src/entry/describe.ts
+++ b/src/entry/describe.ts
@@ -1,6 +1,6 @@
 /** Builds the status of one instance from its controllers, and the findings that an operator should see. */
 import type {Clock, Milliseconds} from "../core/clock.js"
-import type {DocumentInForce} from "../controllers/configuration.js"
+import type {DocumentInForce, WaitingDocument} from "../controllers/configuration.js"
 import type {HeldGroups} from "../controllers/heldgroups.js"
 import type {Membership} from "../controllers/membership.js"
 import type {Ownership} from "../controllers/ownership.js"
@@ -28,6 +28,7 @@
   readonly record: RequestRecord
   readonly leaving: boolean
   readonly current: DocumentInForce | undefined
+  readonly waiting: WaitingDocument | undefined
   readonly store: StoreStatistics
   readonly controlBytes: number
 }
@@ -103,6 +104,11 @@
       "The configuration store does not answer; work goes on, new jobs and documents are refused.",
     )
   if (!current) findings.push("No document is in force.")
+  if (inputs.waiting) {
+    const {number, heldBecause} = inputs.waiting
+    const reason = heldBecause === "" ? "other data centres run it first" : heldBecause
+    findings.push(`Document ${number} is accepted and not in force here: ${reason}.`)
+  }
   const behind = members.filter(
     member => member.documentNumber < (current?.number ?? 0) && member.silentFor < IN_FORCE_WITHIN_MS,
   )
--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -152,6 +152,7 @@
       record,
       leaving,
       current: configuration.current(),
+      waiting: configuration.waiting(),
       store: store.statistics(),
       controlBytes: peerServer.bytes(),
     })
--- a/src/entry/statuspage.ts
+++ b/src/entry/statuspage.ts
@@ -24,7 +24,7 @@
     <table>
       <thead>
         <tr>
-          ${heads.map(head => html`<th scope="col">${head}</th>`)}
+          ${heads.map((head, column) => (typeof rows[0]?.[column] === "number" ? html`<th class="n" scope="col">${head}</th>` : html`<th scope="col">${head}</th>`))}
         </tr>
       </thead>
       <tbody>
--- a/src/peer/server.ts
+++ b/src/peer/server.ts
@@ -4,6 +4,7 @@
 import type {Http2SecureServer, Http2Server, ServerHttp2Session} from "node:http2"
 import type {Socket} from "node:net"
 import {connectNodeAdapter} from "@connectrpc/connect-node"
+import {listen} from "../platform/listen.js"
 import type {PeerApi} from "./api.js"
 import type {PeerTls} from "./client.js"
 import {Peer} from "./generated/peer_pb.js"
@@ -32,7 +33,7 @@
 }
 
 /** Starts to serve on `host:port`; port 0 takes a free one. */
-export function servePeers(
+export async function servePeers(
   api: PeerApi,
   listenAddress: string,
   tls: PeerTls | undefined,
@@ -71,14 +72,6 @@
     await closed
   }
 
-  const separator = listenAddress.lastIndexOf(":")
-  const host = listenAddress.slice(0, separator)
-  return new Promise((resolve, reject) => {
-    server.once("error", reject)
-    server.listen(Number(listenAddress.slice(separator + 1)), host, () => {
-      const bound = server.address()
-      const port = typeof bound === "object" && bound !== null ? bound.port : 0
-      resolve({address: `${host}:${port}`, bytes, close})
-    })
-  })
+  const address = await listen(server, listenAddress)
+  return {address, bytes, close}
 }
--- /dev/null
+++ b/src/platform/listen.ts
@@ -0,0 +1,16 @@
+/** Binds a server to an address that settings name. */
+import type {Server} from "node:net"
+
+/** Listens on `host:port`; port 0 takes a free one. Resolves with the address that was bound. */
+export function listen(server: Server, address: string): Promise<string> {
+  const separator = address.lastIndexOf(":")
+  const host = address.slice(0, separator)
+  return new Promise((resolve, reject) => {
+    server.once("error", reject)
+    server.listen(Number(address.slice(separator + 1)), host, () => {
+      const bound = server.address()
+      const port = typeof bound === "object" && bound !== null ? bound.port : 0
+      resolve(`${host}:${port}`)
+    })
+  })
+}
--- a/standins/backendserver.ts
+++ b/standins/backendserver.ts
@@ -7,6 +7,7 @@
 import type {Socket} from "node:net"
 import {sleep} from "../src/core/clock.js"
 import type {Clock, Milliseconds} from "../src/core/clock.js"
+import {listen} from "../src/platform/listen.js"
 import type {Truth} from "./truth.js"
 
 export interface BackendFaults {
@@ -44,7 +45,7 @@
 const SMALLEST_ANSWER = 64
 
 /** Starts the server; port 0 takes a free one. */
-export function serveBackend(
+export async function serveBackend(
   definition: BackendDefinition,
   clock: Clock,
   truth: Truth,
@@ -135,32 +136,26 @@
     socket.on("close", () => sockets.delete(socket))
   })
 
-  return new Promise((resolve, reject) => {
-    server.once("error", reject)
-    server.listen(port, "127.0.0.1", () => {
-      const bound = server.address()
-      const actual = typeof bound === "object" && bound !== null ? bound.port : 0
-      resolve({
-        address: `127.0.0.1:${actual}`,
-        inHand: () => inHand,
-        served: () => served,
-        connections: () => sockets.size,
-        faults,
-        setLeaving(value) {
-          leaving = value
-        },
-        silenceOpenConnections() {
-          for (const socket of sockets) {
-            silent.add(socket)
-            socket.pause()
-          }
-        },
-        close: () =>
-          new Promise(done => {
-            server.close(() => done())
-            for (const socket of sockets) socket.destroy()
-          }),
-      })
-    })
-  })
+  const address = await listen(server, `127.0.0.1:${port}`)
+  return {
+    address,
+    inHand: () => inHand,
+    served: () => served,
+    connections: () => sockets.size,
+    faults,
+    setLeaving(value) {
+      leaving = value
+    },
+    silenceOpenConnections() {
+      for (const socket of sockets) {
+        silent.add(socket)
+        socket.pause()
+      }
+    },
+    close: () =>
+      new Promise(done => {
+        server.close(() => done())
+        for (const socket of sockets) socket.destroy()
+      }),
+  }
 }
--- a/standins/balancer.ts
+++ b/standins/balancer.ts
@@ -6,6 +6,7 @@
 import type {Socket} from "node:net"
 import {request} from "undici"
 import type {Clock, Milliseconds} from "../src/core/clock.js"
+import {listen} from "../src/platform/listen.js"
 
 export interface Balancer {
   readonly address: string
@@ -18,7 +19,7 @@
 const CHECK_TIMEOUT_MS: Milliseconds = 500
 
 /** Starts the balancer; port 0 takes a free one. */
-export function serveBalancer(clock: Clock, port = 0): Promise<Balancer> {
+export async function serveBalancer(clock: Clock, port = 0): Promise<Balancer> {
   const sockets = new Set<Socket>()
   let targets: readonly string[] = []
   let healthy: readonly string[] = []
@@ -71,25 +72,19 @@
   const server = createServer(pass)
   void check()
 
-  return new Promise((resolve, reject) => {
-    server.once("error", reject)
-    server.listen(port, "127.0.0.1", () => {
-      const bound = server.address()
-      const actual = typeof bound === "object" && bound !== null ? bound.port : 0
-      resolve({
-        address: `127.0.0.1:${actual}`,
-        setTargets(addresses) {
-          targets = addresses
-        },
-        healthy: () => healthy,
-        close() {
-          closed = true
-          return new Promise(done => {
-            server.close(() => done())
-            for (const socket of sockets) socket.destroy()
-          })
-        },
+  const address = await listen(server, `127.0.0.1:${port}`)
+  return {
+    address,
+    setTargets(addresses) {
+      targets = addresses
+    },
+    healthy: () => healthy,
+    close() {
+      closed = true
+      return new Promise(done => {
+        server.close(() => done())
+        for (const socket of sockets) socket.destroy()
       })
-    })
-  })
+    },
+  }
 }
--- a/standins/jsonserver.ts
+++ b/standins/jsonserver.ts
@@ -2,6 +2,7 @@
 import {createServer} from "node:http"
 import type {IncomingMessage, ServerResponse} from "node:http"
 import type {Socket} from "node:net"
+import {listen} from "../src/platform/listen.js"
 
 /** Answers one call. Undefined drops the connection without an answer, as if the reply was lost. */
 export type JsonHandler = (
@@ -45,7 +46,7 @@
 }
 
 /** Starts the server; port 0 takes a free one. */
-export function serveJson(handler: JsonHandler, port = 0): Promise<JsonServer> {
+export async function serveJson(handler: JsonHandler, port = 0): Promise<JsonServer> {
   const sockets = new Set<Socket>()
   const server = createServer({keepAliveTimeout: 60_000}, (incoming, outgoing) => {
     answer(handler, incoming, outgoing).catch(() => outgoing.destroy())
@@ -54,17 +55,11 @@
     sockets.add(socket)
     socket.on("close", () => sockets.delete(socket))
   })
-  return new Promise((resolve, reject) => {
-    server.once("error", reject)
-    server.listen(port, "127.0.0.1", () => {
-      const bound = server.address()
-      const actual = typeof bound === "object" && bound !== null ? bound.port : 0
-      const close = (): Promise<void> =>
-        new Promise(done => {
-          server.close(() => done())
-          for (const socket of sockets) socket.destroy()
-        })
-      resolve({address: `127.0.0.1:${actual}`, close})
+  const address = await listen(server, `127.0.0.1:${port}`)
+  const close = (): Promise<void> =>
+    new Promise(done => {
+      server.close(() => done())
+      for (const socket of sockets) socket.destroy()
     })
-  })
+  return {address, close}
 }
--- a/standins/trial.ts
+++ b/standins/trial.ts
@@ -55,15 +55,34 @@
 const WORKER_CLOCK_STEP_MS: Milliseconds = 977
 const READY_POLL_MS: Milliseconds = 50
 
-function settingsFor(name: string, dataCentre: string, store: string, list: string): string {
+/** Files for TLS towards callers and between instances. */
+export interface TrialTls {
+  readonly certificate: string
+  readonly key: string
+  readonly authority: string
+}
+
+function tlsLines(tls: TrialTls | undefined, withAuthority: boolean): string {
+  if (!tls) return ""
+  const lines = `tls = on\ncertificate = ${tls.certificate}\nkey = ${tls.key}\n`
+  return withAuthority ? `${lines}authority = ${tls.authority}\n` : lines
+}
+
+function settingsFor(
+  name: string,
+  dataCentre: string,
+  store: string,
+  list: string,
+  tls: TrialTls | undefined,
+): string {
   return `[instance]
 name = ${name}
 data_centre = ${dataCentre}
 [callers]
 address = 127.0.0.1:0
-[peers]
+${tlsLines(tls, false)}[peers]
 address = 127.0.0.1:0
-[platform]
+${tlsLines(tls, true)}[platform]
 store = ${store}
 instance_list = ${list}
 [operators]
@@ -141,6 +160,7 @@
   deployment: Deployment,
   seed: number,
   logFor: (instance: string) => Logger,
+  tls?: TrialTls,
 ): Promise<TrialEnvironment> {
   const clock = systemClock()
   const truth = truthRecord()
@@ -164,7 +184,7 @@
     started += 1
     const settings = readSettings(
       `${name}.ini`,
-      settingsFor(name, dataCentre, store.address, listServer.address),
+      settingsFor(name, dataCentre, store.address, listServer.address, tls),
     )
     if (settings.isErr()) throw new RangeError(settings.error.map(formatFinding).join("\n"))
     const caller = jsonCaller()
--- a/test/guards/guards.ts
+++ b/test/guards/guards.ts
@@ -87,6 +87,22 @@
     test: "unit/configuration.test.js",
     match: "a store that answers with an older*",
   },
+  {
+    name: "a cancelled task is not said not to have run without proof",
+    file: "controllers/jobhome.js",
+    find: 'return unproved.has(name) && !isProvedFresh ? "unproved" : "none";',
+    replace: 'return "none";',
+    test: OWNERSHIP,
+    match: "after a home has died*",
+  },
+  {
+    name: "a document that makes the first data centres worse is held back",
+    file: "controllers/configuration.js",
+    find: 'objection(pending) === ""',
+    replace: "true",
+    test: "unit/configuration.test.js",
+    match: "a staged document that makes*",
+  },
   {
     name: "a document is accepted only on the number that was looked at",
     file: "controllers/configuration.js",
--- /dev/null
+++ b/test/requests/tls.test.ts
@@ -0,0 +1,44 @@
+import {readFileSync} from "node:fs"
+import {join} from "node:path"
+import {create} from "@bufbuild/protobuf"
+import test from "ava"
+import {Agent, request} from "undici"
+import {systemClock} from "../../src/core/clock.js"
+import {SILENT} from "../../src/controllers/logger.js"
+import {peerClients} from "../../src/peer/client.js"
+import {GossipMessageSchema} from "../../src/peer/generated/peer_pb.js"
+import {startTrial} from "../../standins/trial.js"
+import {SMALL} from "../support/sockets.js"
+
+const FOLDER = join("test", "support", "certificates")
+const FILES = {
+  certificate: join(FOLDER, "instance.pem"),
+  key: join(FOLDER, "instance.key"),
+  authority: join(FOLDER, "authority.pem"),
+}
+
+test("with TLS on, instances hear each other by mutual TLS only, and callers are served by HTTPS", async t => {
+  const environment = await startTrial(SMALL, 1, () => SILENT, FILES)
+  t.teardown(environment.close)
+  const first = await environment.startEntry("entry-1")
+  const second = await environment.startEntry("entry-2")
+  environment.list.settle()
+  const clock = systemClock()
+  for (let attempt = 0; attempt < 100 && second.status().members.length < 2; attempt += 1) {
+    await new Promise<void>(resolve => clock.after(100, resolve))
+  }
+  t.is(first.status().members.length, 2)
+
+  const message = create(GossipMessageSchema, {sender: "stranger", senderIncarnation: "x"})
+  const stranger = peerClients(() => undefined, undefined)
+  await t.throwsAsync(stranger.reachAddress(first.peerAddress).gossip(message))
+  stranger.close()
+  t.false(first.status().members.some(member => member.instance === "stranger"))
+
+  const agent = new Agent({connect: {ca: readFileSync(FILES.authority)}})
+  const reply = await request(`https://${first.callerAddress}/status`, {dispatcher: agent})
+  t.is(reply.statusCode, 200)
+  await reply.body.dump()
+  await t.throwsAsync(request(`http://${first.callerAddress}/status`))
+  await agent.destroy()
+})
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -54,6 +54,8 @@
   readonly silentWorkers: Set<string>
   /** Pairs of instances, as `one|other` in order of name, between which nothing passes. */
   readonly cuts: Set<string>
+  /** Share of failed requests that an instance tells of itself. */
+  readonly failureShares: Map<string, number>
   /** Calls between instances by name that are still to be carried out with their reply lost. */
   readonly lostPeerReplies: Map<string, number>
   /** Called before each order that reaches a worker. */
@@ -250,6 +252,7 @@
     workers,
     silentWorkers,
     cuts,
+    failureShares: new Map<string, number>(),
     lostPeerReplies: new Map<string, number>(),
     beforeSync: () => undefined,
     storeCalls: () => storeCalls,
@@ -352,7 +355,7 @@
         peers,
         peerAddress: name,
         isLeaving: () => false,
-        failureShare: () => 0,
+        failureShare: () => cluster.failureShares.get(name) ?? 0,
         onSlotReturned: () => undefined,
         onReplaced: () => undefined,
       },
--- a/test/unit/configuration.test.ts
+++ b/test/unit/configuration.test.ts
@@ -96,6 +96,43 @@
   cluster.close()
 })
 
+const STAGED = `${TEXT}[rollout]
+first = b
+hold = 10s
+maximum_failure_share = 0.1
+`
+
+function numbersIn(cluster: Cluster, dataCentre: string): number[] {
+  const nodes = cluster.nodes.filter(node => node.core.membership.self().dataCentre === dataCentre)
+  return nodes.map(node => node.core.configuration.current()?.number ?? 0)
+}
+
+test("a staged document takes force in the first data centre, and elsewhere after its hold", async t => {
+  const cluster = await readyCluster({...SMALL, seed: 27})
+  await propose(cluster, 0, 1, STAGED, "staged")
+  await cluster.advance(5000)
+  t.true(numbersIn(cluster, "b").every(number => number === 2))
+  t.true([...numbersIn(cluster, "a"), ...numbersIn(cluster, "c")].every(number => number === 1))
+  await cluster.advance(8000)
+  t.deepEqual(numbers(cluster), [2, 2, 2, 2])
+  cluster.close()
+})
+
+test("a staged document that makes the first data centre worse is held, with the reason, until a new one", async t => {
+  const cluster = await readyCluster({...SMALL, seed: 28})
+  await propose(cluster, 0, 1, STAGED, "staged")
+  await cluster.advance(3000)
+  for (const node of cluster.nodes) cluster.failureShares.set(node.name, 0.4)
+  await cluster.advance(20_000)
+  t.true([...numbersIn(cluster, "a"), ...numbersIn(cluster, "c")].every(number => number === 1))
+  const held = cluster.nodes.map(node => node.core.configuration.waiting()?.heldBecause ?? "")
+  t.true(held.some(reason => reason.includes("maximum_failure_share")))
+  await propose(cluster, 0, 2, TEXT, "undone")
+  await cluster.advance(10_000)
+  t.deepEqual(numbers(cluster), [3, 3, 3, 3])
+  cluster.close()
+})
+
 test("a document with findings changes nothing", async t => {
   const cluster = createCluster({...SMALL, seed: 25})
   await cluster.start()
