--- a/standins/workercore.ts
+++ b/standins/workercore.ts
@@ -50,11 +50,16 @@
   leaseEndsAt: Milliseconds
   cancel: Cancel
   script: TaskScript
+  /** Slowed down to half its speed, and held to the memory that it declared. */
+  throttled: boolean
 }
 
 const DEFAULT_RUN_MS: Milliseconds = 500
 const FAIL_AFTER_MS: Milliseconds = 20
 const LEASE_CHECK_MS: Milliseconds = 100
+/** Memory that a task uses of what it declared, unless its script says otherwise. */
+const USUAL_MEMORY = 0.8
+const THROTTLED_SLOWNESS = 2
 const USAGE_LAG_MS: Milliseconds = 500
 const CLOCK_STEP_MS: Milliseconds = 0.001
 const SERVICE_RUN_MS: Milliseconds = 365 * 24 * 3_600_000
@@ -113,7 +118,7 @@
     const ranFor = clock.now() - entry.startedAt
     const {job, task, jobGroup, demand, checkpoint: before} = entry.attempt
     const checkpoint = outcome === "checkpointed" ? `${name}@${doneBefore(before) + ranFor}` : ""
-    const peakMemoryMebibytes = demand.memoryMebibytes * (entry.script.memory ?? 0.8)
+    const peakMemoryMebibytes = demand.memoryMebibytes * (entry.script.memory ?? USUAL_MEMORY)
     const worker = definition.name
     ends += 1
     const result = {
@@ -133,11 +138,11 @@
     wake()
   }
 
-  function finishAfter(attempt: Attempt, script: TaskScript): Cancel {
+  function finishAfter(attempt: Attempt, script: TaskScript, ranFor: Milliseconds, slowness: number): Cancel {
     const fails = failing || script.fail === true || (script.failOn?.includes(definition.name) ?? false)
     if (fails) return clock.after(FAIL_AFTER_MS, () => end(attempt.attempt, "failed", "the task failed"))
     const whole = attempt.kind === "service" ? SERVICE_RUN_MS : (script.run ?? DEFAULT_RUN_MS)
-    const left = Math.max(1, whole - doneBefore(attempt.checkpoint))
+    const left = Math.max(1, (whole - doneBefore(attempt.checkpoint) - ranFor) * slowness)
     if (left > 2 ** 31 - 1) return () => undefined
     return clock.after(left, () => end(attempt.attempt, "succeeded", ""))
   }
@@ -150,11 +155,20 @@
       leaseEndsAt,
       cancel: () => undefined,
       script,
+      throttled: false,
     })
     truth.taskStarted(attempt, definition.name, clock.now())
     truth.capacityUsed(definition.name, used(), definition.capacity)
     const entry = running.get(attempt.attempt)
-    if (entry) entry.cancel = finishAfter(attempt, script)
+    if (entry) entry.cancel = finishAfter(attempt, script, 0, 1)
+  }
+
+  function throttle(name: string): void {
+    const entry = running.get(name)
+    if (!entry || entry.throttled) return
+    entry.throttled = true
+    entry.cancel()
+    entry.cancel = finishAfter(entry.attempt, entry.script, clock.now() - entry.startedAt, THROTTLED_SLOWNESS)
   }
 
   function carryOut(request: WorkerSync, at: Milliseconds): readonly RefusedStart[] {
@@ -172,6 +186,7 @@
     }
     for (const name of request.stops) end(name, "stopped", "it was told to stop")
     for (const name of request.checkpoints) end(name, "checkpointed", "it was told to checkpoint")
+    for (const name of request.throttles) throttle(name)
     for (const name of request.acknowledged) ended.delete(name)
     return refused
   }
@@ -179,7 +194,8 @@
   function reportRunning(): readonly RunningAttempt[] {
     return [...running.values()].map(entry => {
       const ranFor = clock.now() - entry.startedAt
-      const factor = ranFor > USAGE_LAG_MS ? (entry.script.memory ?? 0.8) : 0
+      const wanted = entry.script.memory ?? USUAL_MEMORY
+      const factor = ranFor > USAGE_LAG_MS ? (entry.throttled ? Math.min(1, wanted) : wanted) : 0
       const {demand} = entry.attempt
       return {
         attempt: entry.attempt,
--- a/test/failures/ownership.test.ts
+++ b/test/failures/ownership.test.ts
@@ -119,6 +119,25 @@
   cluster.close()
 })
 
+test("a task over its memory is throttled, or checkpointed, and asks for more the next time", async t => {
+  const cluster = await readyCluster({...SMALL, seed: 17})
+  const body = (workload: string, memory: number): object => ({
+    ...job("red", workload, 1, 0),
+    payload: JSON.stringify({run: 3000, memory}),
+  })
+  const throttled = await cluster.submit(body("once", 1.3))
+  const moved = await cluster.submit(body("batch", 1.8))
+  await cluster.advance(4500)
+  const [once] = cluster.truth.tasks().filter(run => run.job === throttled.body.job)
+  t.is(once?.endedAt, undefined, "it runs on at half its speed")
+  t.deepEqual(await untilEnded(cluster, throttled.body.job, 20_000), RAN(1))
+  t.deepEqual(await untilEnded(cluster, moved.body.job, 40_000), RAN(1))
+  const runs = cluster.truth.tasks().filter(run => run.job === moved.body.job)
+  t.true(runs.some(run => run.outcome === "checkpointed"))
+  t.deepEqual(cluster.violations(), [])
+  cluster.close()
+})
+
 test("a placement whose reply is lost is settled before the task starts again", async t => {
   const cluster = await readyCluster({...SMALL, seed: 13})
   cluster.lostPeerReplies.set("place", 3)
