--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,7 +6,8 @@
 import {benchPlacement} from "./placement.js"
 import type {PlacementResults} from "./placement.js"
 import {benchRequests} from "./requests.js"
-import {renderPlacement, textCapacity, textPlacement, textRequests} from "./render.js"
+import {benchTakeover} from "./takeover.js"
+import {renderPlacement, textCapacity, textPlacement, textRequests, textTakeover} from "./render.js"
 
 interface BenchOptions {
   readonly json: boolean
@@ -55,4 +56,13 @@
   )
 })
 
+withOutput(program.command("takeover").description("what a death costs, under a virtual clock")).action(
+  async (options: BenchOptions) => {
+    const results = await benchTakeover()
+    output(options, results, textTakeover(results), () =>
+      htmlPage("Takeover", `<pre>${textTakeover(results)}</pre>`),
+    )
+  },
+)
+
 await program.parseAsync()
--- a/bench/render.ts
+++ b/bench/render.ts
@@ -4,6 +4,7 @@
 import type {CapacityResults} from "./capacity.js"
 import type {PlacementResults, PlacementRow} from "./placement.js"
 import type {RequestResults} from "./requests.js"
+import type {TakeoverResults} from "./takeover.js"
 
 export type Cell = string | number
 
@@ -169,3 +170,23 @@
     ),
   ].join("\n")
 }
+
+export function textTakeover(results: readonly TakeoverResults[]): string {
+  const rows = results.map(({instances, groupsHeld, firstStart, storeCallsAtRest}) => [
+    instances,
+    groupsHeld.p50,
+    groupsHeld.p99,
+    firstStart.p50,
+    firstStart.p99,
+    storeCallsAtRest.toFixed(1),
+  ])
+  const heads = [
+    "instances",
+    "groups held p50 ms",
+    "most",
+    "first start p50 ms",
+    "most",
+    "store calls/s at rest",
+  ]
+  return textTable(heads, rows)
+}
