Capacity: bytes of worker exchanges and memory of a member are measured, not assumed

Cause, on reading the change again: three slopes of docs/CAPACITY.md were constants in the benchmark, the memory slopes needed a flag that the page's command does not give, and a packing bound of 1 stood as a result.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -2,6 +2,14 @@
  * `npm run bench -- capacity`: slopes of each role, measured in one process with small fakes, and what they come to
  * at the target size. The page docs/CAPACITY.md is written from this table.
  */
+import {setFlagsFromString} from "node:v8"
+import {runInNewContext} from "node:vm"
+import {systemClock} from "../src/core/clock.js"
+import type {Attempt} from "../src/jobs/attempt.js"
+import {truthRecord} from "../standins/truth.js"
+import {workerCore} from "../standins/workercore.js"
+import {attemptOf} from "./schedulers.js"
+import type {TraceTask} from "./trace.js"
 import {seededRandom} from "../src/core/random.js"
 import {chooseEntries, noteExchange} from "../src/membership/gossip.js"
 import type {PeerKnowledge} from "../src/membership/gossip.js"
@@ -75,6 +83,22 @@
   ]
 }
 
+function memberAt(index: number): Member {
+  return {
+    instance: `entry-${index}`,
+    incarnation: "000000001-0001",
+    heartbeat: 1,
+    version: 1,
+    address: `10.${index >> 16}.${(index >> 8) & 255}.${index & 255}:7400`,
+    dataCentre: `dc-${index % 25}`,
+    status: "active",
+    documentNumber: 7,
+    holderIncarnation: "000000001-0001",
+    claims: claimsFor(index),
+    failureShare: 0,
+  }
+}
+
 interface SimulatedMember {
   self: Member
   table: Table
@@ -85,19 +109,7 @@
 export function simulateMembership(members: number): MembershipRow {
   const random = seededRandom(members)
   const all: SimulatedMember[] = Array.from({length: members}, (_, index) => ({
-    self: {
-      instance: `entry-${index}`,
-      incarnation: "000000001-0001",
-      heartbeat: 1,
-      version: 1,
-      address: `10.${index >> 16}.${(index >> 8) & 255}.${index & 255}:7400`,
-      dataCentre: `dc-${index % 25}`,
-      status: "active",
-      documentNumber: 7,
-      holderIncarnation: "000000001-0001",
-      claims: claimsFor(index),
-      failureShare: 0,
-    },
+    self: memberAt(index),
     table: new Map(),
     knowledge: new Map(),
   }))
@@ -211,9 +223,57 @@
   return {attempt, end, lend, promise}
 }
 
+const TASKS_REPORTED = 20
+const SAMPLE_TASK: TraceTask = {
+  id: 1,
+  team: "schools",
+  taskClass: "long",
+  priority: 5,
+  pool: "crease",
+  demand: {processors: 1, memoryMebibytes: 1024, accelerators: 0},
+  arrivesAt: 0,
+  run: 60_000,
+  checkpointable: true,
+  atCrest: false,
+}
+const WORKER = {name: "crease-01", capacity: {processors: 64, memoryMebibytes: 131_072, accelerators: 0}}
+
+/** Bytes of one exchange with a worker that runs nothing, and what each running task adds. */
+async function syncSizes(): Promise<{readonly idle: number; readonly perTask: number}> {
+  const worker = workerCore(WORKER, systemClock(), truthRecord(), 0)
+  const orders = {
+    owner: "entry-1",
+    epoch: 3,
+    lease: 8000,
+    stops: [],
+    checkpoints: [],
+    throttles: [],
+    acknowledged: [],
+    endedAfter: 0,
+    wait: 0,
+  }
+  const exchange = async (boot: string, basis: number, starts: readonly Attempt[]) => {
+    const request = {...orders, boot, basis, starts}
+    const report = await worker.sync(request)
+    return {report, bytes: JSON.stringify(request).length + JSON.stringify(report).length + 2 * HEADER_BYTES}
+  }
+  const first = await exchange("", -1, [])
+  const idle = await exchange(first.report.boot, first.report.clock, [])
+  const starts = Array.from({length: TASKS_REPORTED}, (_, index) => ({
+    ...attemptOf(SAMPLE_TASK, index),
+    job: "7-942ac1070ad9205c445d1d53",
+    attempt: `7-942ac1070ad9205c445d1d53.${index}.3-1234`,
+  }))
+  await exchange(idle.report.boot, idle.report.clock, starts)
+  const busy = await exchange(idle.report.boot, idle.report.clock, [])
+  worker.close()
+  return {idle: idle.bytes, perTask: (busy.bytes - idle.bytes) / TASKS_REPORTED}
+}
+
 /** Memory of one open job with ten tasks, and of one queued task, in bytes. */
-function memorySlopes(): {readonly job: number; readonly queued: number} {
-  const collect = globalThis.gc
+function memorySlopes(): {readonly job: number; readonly queued: number; readonly member: number} {
+  setFlagsFromString("--expose-gc")
+  const collect = runInNewContext("gc") as () => void
   const specification = (index: number): JobSpecification => ({
     job: `7-${index}`,
     team: "schools",
@@ -231,12 +291,12 @@
     requestDigest: String(index),
   })
   const count = 4000
-  collect?.()
+  collect()
   const before = process.memoryUsage().heapUsed
   const jobs: (Job | undefined)[] = []
   for (let index = 0; index < count; index += 1)
     jobs.push(applyJobStep(undefined, {type: "accepted", specification: specification(index)}))
-  collect?.()
+  collect()
   const between = process.memoryUsage().heapUsed
   const queue = taskQueue<QueuedItem>()
   for (let index = 0; index < 10 * count; index += 1) {
@@ -249,12 +309,23 @@
       enqueuedAt: index,
     })
   }
-  collect?.()
+  collect()
   const after = process.memoryUsage().heapUsed
-  const kept = jobs.length + queue.size()
-  return kept > 0
-    ? {job: (between - before) / count, queued: (after - between) / (10 * count)}
-    : {job: 0, queued: 0}
+  const members = Array.from({length: count}, (_, index) => memberAt(index))
+  const entries = members.map(member => ({...member, state: member}))
+  collect()
+  const beforeTable = process.memoryUsage().heapUsed
+  const copies: readonly Entry[] = structuredClone(entries)
+  const table = mergeEntries(new Map(), "self", copies, 0)
+  collect()
+  const afterTable = process.memoryUsage().heapUsed
+  // The table, the jobs and the queue stay in use until here, so that they are not collected before.
+  if (jobs.length + queue.size() + table.size < count) throw new RangeError("What is measured was lost.")
+  return {
+    job: (between - before) / count,
+    queued: (after - between) / (10 * count),
+    member: (afterTable - beforeTable) / count,
+  }
 }
 
 export interface CapacityRow {
@@ -276,18 +347,17 @@
 const PROMISES_PER_SECOND = 2.5
 const SUCCESSORS = 2
 const SYNC_PER_WORKER_PER_SECOND = 1
-const SYNC_BYTES_IDLE = 420
-const SYNC_BYTES_PER_TASK = 330
 
 function verdict(value: number, budget: number): "yes" | "no" {
   return value <= budget ? "yes" : "no"
 }
 
 /** Runs the benchmark. */
-export function benchCapacity(): CapacityResults {
+export async function benchCapacity(): Promise<CapacityResults> {
   const membership = [8, 64, 512].map(simulateMembership)
   const wire = sizes()
   const memory = memorySlopes()
+  const sync = await syncSizes()
   const decision = timeDecisions(TARGET.workers, TARGET.tasksRunning)
   const perEntry = {
     workers: TARGET.workers / ENTRIES_AT_TARGET,
@@ -299,12 +369,12 @@
   const promiseBytes = 2 * SUCCESSORS * PROMISES_PER_SECOND * (wire.promise * 2 + 2 * HEADER_BYTES)
   const startBytes = 4 * perEntry.starts * (wire.attempt + wire.end + HEADER_BYTES)
   const syncBytes =
-    perEntry.workers * SYNC_PER_WORKER_PER_SECOND * SYNC_BYTES_IDLE + perEntry.running * SYNC_BYTES_PER_TASK
+    perEntry.workers * SYNC_PER_WORKER_PER_SECOND * sync.idle + perEntry.running * sync.perTask
   const control = gossipBytes + promiseBytes + startBytes + syncBytes
   const decisionShare = (perEntry.starts * (decision.plan.p50 + decision.fit.p50)) / 1e6
   const renewals = ENTRIES_AT_TARGET / RENEWAL_SECONDS
   const rareRenewals = ENTRIES_AT_TARGET / RENEWAL_AT_TARGET_SECONDS
-  const tableBytes = ENTRIES_AT_TARGET * 600
+  const tableBytes = ENTRIES_AT_TARGET * memory.member
   const row = (
     role: string,
     quantity: string,
@@ -335,7 +405,7 @@
       row(
         "member",
         "table of all members",
-        "about 600 B a member",
+        `${memory.member.toFixed(0)} B a member`,
         `${(tableBytes / 1024 / 1024).toFixed(1)} MiB`,
         "256 MiB",
         verdict(tableBytes / 1024 / 1024, TARGET.memoryMebibytes),
@@ -375,7 +445,7 @@
       row(
         "owner",
         "worker exchanges",
-        `${SYNC_BYTES_IDLE} B/s a worker, ${SYNC_BYTES_PER_TASK} B/s a running task`,
+        `${sync.idle} B/s a worker, ${sync.perTask.toFixed(0)} B/s a running task`,
         `${syncBytes.toFixed(0)} B/s`,
         "12288 B/s in all",
         verdict(syncBytes, TARGET.bytesPerSecond),
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -49,8 +49,8 @@
 
 withOutput(
   program.command("capacity").description("slopes of each role and what they come to at the target size"),
-).action((options: BenchOptions) => {
-  const results = benchCapacity()
+).action(async (options: BenchOptions) => {
+  const results = await benchCapacity()
   output(options, results, textCapacity(results), () =>
     htmlPage("Capacity", `<pre>${textCapacity(results)}</pre>`),
   )
--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -30,10 +30,8 @@
   readonly long: Distribution
   readonly urgent: Distribution
   readonly crest: Distribution
-  /** Share of the processors in use while tasks wait. */
+  /** Processors in use while tasks wait, as a share of what any schedule could use at those times. */
   readonly packing: number
-  /** The largest share that any schedule could use at those times. */
-  readonly packingBound: number
   readonly preemptions: number
   readonly messagesPerStart: number
   readonly conflictShare: number
@@ -199,7 +197,6 @@
     urgent: distribution(waits(task => task.taskClass === "urgent")),
     crest: distribution(waitsAtCrest),
     packing: boundSum > 0 ? usedSum / boundSum : 1,
-    packingBound: 1,
     preemptions,
     messagesPerStart: messages / Math.max(1, starts),
     conflictShare: conflicts / Math.max(1, starts),
--- a/src/controllers/requestrouter.ts
+++ b/src/controllers/requestrouter.ts
@@ -216,7 +216,7 @@
     return new Promise(resolve => {
       waiters.set(request.id, {request, lane, resolve})
       const {id, urgency, deadlineAt} = request
-      const waiting: WaitingRequest = {id, lane, urgency, arrivedAt: now, deadlineAt}
+      const waiting: WaitingRequest = {id, lane, urgency, deadlineAt}
       queue.add(waiting)
       borrower.wake()
       serve()
--- a/src/entry/peerhandlers.ts
+++ b/src/entry/peerhandlers.ts
@@ -154,7 +154,6 @@
         create(PromiseResponseSchema, {
           granted: term > 0,
           term,
-          successorIncarnation: ownership.incarnation(),
         }),
       )
     },
--- a/src/routing/admission.ts
+++ b/src/routing/admission.ts
@@ -12,7 +12,6 @@
   readonly lane: LaneName
   /** RFC 9218 urgency: 0 goes first, 7 last. */
   readonly urgency: number
-  readonly arrivedAt: Milliseconds
   readonly deadlineAt: Milliseconds
 }
 
--- a/test/unit/routing.test.ts
+++ b/test/unit/routing.test.ts
@@ -78,8 +78,8 @@
 test("long requests leave room for short ones, and shorts do not starve them", t => {
   const queue = admissionQueue()
   for (let index = 0; index < 20; index += 1) {
-    queue.add({id: `l${index}`, lane: "long", urgency: 3, arrivedAt: 0, deadlineAt: 1000})
-    queue.add({id: `s${index}`, lane: "short", urgency: 3, arrivedAt: 0, deadlineAt: 1000})
+    queue.add({id: `l${index}`, lane: "long", urgency: 3, deadlineAt: 1000})
+    queue.add({id: `s${index}`, lane: "short", urgency: 3, deadlineAt: 1000})
   }
   const served = Array.from({length: 10}, () => queue.next(true)?.id ?? "")
   t.is(served.filter(id => id.startsWith("l")).length, 2)
