--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,7 +16,7 @@
 })
 
 export default tseslint.config(
-  {ignores: ["build/**", "node_modules/**", "src/peer/generated/**", "eslint.config.js"]},
+  {ignores: ["build/**", "target/**", "node_modules/**", "src/peer/generated/**", "eslint.config.js"]},
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
--- /dev/null
+++ b/src/cli/daemon.ts
@@ -0,0 +1,129 @@
+/** The program that the platform starts on each of its machines: one instance, until it is told to stop. */
+import {randomBytes} from "node:crypto"
+import pino from "pino"
+import {sleep, systemClock} from "../core/clock.js"
+import type {Milliseconds} from "../core/clock.js"
+import {describeError} from "../core/errors.js"
+import {formatFinding} from "../core/finding.js"
+import {hash32} from "../core/hash.js"
+import {seededRandom} from "../core/random.js"
+import {fleetClients, fleetRoutes} from "../peer/fleet.js"
+import {servePeers} from "../peer/server.js"
+import {createFleetInstance} from "../planner/instance.js"
+import {adviceCalls} from "../platform/advicecalls.js"
+import {FLEET_READER} from "../platform/fleetreader.js"
+import {createFrontend, createStatusServer} from "../platform/frontend.js"
+import {jsonCaller} from "../platform/http.js"
+import {keyValueStore} from "../platform/kvstore.js"
+import {listen} from "../platform/listen.js"
+import {platformSettingsFile} from "../platform/settingsfile.js"
+import {workerCalls} from "../platform/workercalls.js"
+import {loadFleetSettings, seedAddresses} from "../settings/fleetsettings.js"
+import type {FleetSettings} from "../settings/fleetsettings.js"
+import {EXIT} from "./exitcodes.js"
+
+/** Log lines gather up to this size before they are written. */
+const LOG_BUFFER_BYTES = 4096
+const LOG_FLUSH_MS: Milliseconds = 500
+/** The platform sends new connections until two readiness checks, a second apart, have failed. */
+const READINESS_NOTICE_MS: Milliseconds = 2500
+/** Left of the grace period for the process to end by itself. */
+const EXIT_MARGIN_MS: Milliseconds = 800
+const DRAIN_POLL_MS: Milliseconds = 50
+/** A few connections to each worker carry a report that waits and orders beside it. */
+const WORKER_CONNECTIONS = 4
+const STORE_CONNECTIONS = 8
+const LIFE_BYTES = 8
+
+async function run(settings: FleetSettings): Promise<void> {
+  const destination = pino.destination({dest: 1, sync: false, minLength: LOG_BUFFER_BYTES})
+  const log = pino({level: settings.logLevel, base: {instance: settings.instance}}, destination)
+  setInterval(() => destination.flush(), LOG_FLUSH_MS).unref()
+  const clock = systemClock()
+  const life = randomBytes(LIFE_BYTES).toString("hex")
+  const storeCaller = jsonCaller(STORE_CONNECTIONS)
+  const workerCaller = jsonCaller(WORKER_CONNECTIONS)
+  const clients = fleetClients(undefined)
+  const instance = createFleetInstance(
+    {
+      member: {name: settings.instance, address: settings.peerAddress},
+      life,
+      seeds: seedAddresses(settings),
+      longestLease: settings.longestLease,
+    },
+    {
+      clock,
+      random: seededRandom(hash32(`${settings.instance}/${life}`)),
+      log,
+      store: keyValueStore(storeCaller, settings.storeAddress),
+      reader: FLEET_READER,
+      workers: workerCalls(workerCaller),
+      advice: adviceCalls(storeCaller, settings.adviceAddress),
+      clients,
+    },
+  )
+  const frontend = createFrontend({
+    intake: instance.intake,
+    configuration: instance.configuration,
+    wallClock: clock.wallClock,
+    log,
+    isDraining: instance.isDraining,
+  })
+  let inHand = 0
+  frontend.on("request", (_request, response) => {
+    inHand += 1
+    response.once("close", () => (inHand -= 1))
+  })
+  const metrics = (): string =>
+    Object.entries(instance.counts())
+      .map(([name, value]) => `lacewing_${name} ${value}\n`)
+      .join("")
+  const status = createStatusServer(instance.isReady, metrics)
+  await servePeers(fleetRoutes(instance.handlers), settings.peerAddress, undefined)
+  await listen(frontend, settings.callerAddress)
+  await listen(status, settings.statusAddress)
+  instance.start()
+  log.info(
+    {event: "started", callers: settings.callerAddress, uptime: process.uptime()},
+    "the instance serves",
+  )
+
+  let stopping = false
+  const stop = async (): Promise<void> => {
+    if (stopping) return
+    stopping = true
+    const begun = clock.now()
+    log.info({event: "stopping"}, "the instance stops")
+    await instance.drain()
+    const limit = settings.stopGrace - EXIT_MARGIN_MS
+    while (clock.now() - begun < limit && (inHand > 0 || clock.now() - begun < READINESS_NOTICE_MS))
+      await sleep(clock, DRAIN_POLL_MS)
+    instance.stop()
+    log.info({event: "stopped", inHand}, "the instance has stopped")
+    destination.flushSync()
+    process.exit(EXIT.ok)
+  }
+  process.on("SIGTERM", () => void stop())
+  process.on("SIGINT", () => void stop())
+  process.on("SIGHUP", () => log.info({event: "settings-changed"}, "settings are read at the next start"))
+  process.on("uncaughtException", error => {
+    log.error(
+      {event: "uncaught", reason: describeError(error), stack: error.stack},
+      "an error was not handled",
+    )
+  })
+  process.on("unhandledRejection", error => {
+    log.error({event: "unhandled", reason: describeError(error)}, "a rejection was not handled")
+  })
+}
+
+const file = platformSettingsFile(process.env) ?? process.argv[2] ?? ""
+const loaded = loadFleetSettings(file)
+if (loaded.isErr()) {
+  for (const finding of loaded.error) process.stderr.write(`${formatFinding(finding)}\n`)
+  process.exit(EXIT.invalid)
+}
+run(loaded.value).catch((error: unknown) => {
+  process.stderr.write(`The instance could not start: ${describeError(error)}\n`)
+  process.exit(EXIT.unreachable)
+})
--- a/src/controllers/configuration.ts
+++ b/src/controllers/configuration.ts
@@ -20,7 +20,7 @@
 import type {PeerNetwork} from "../peer/api.js"
 import {FetchDocumentRequestSchema} from "../peer/generated/peer_pb.js"
 import type {Store} from "../platform/ports.js"
-import type {Logger} from "./logger.js"
+import type {Logger} from "../core/logger.js"
 
 /** An accepted document as it is stored. */
 export interface AcceptedDocument {
--- a/src/controllers/dispatcher.ts
+++ b/src/controllers/dispatcher.ts
@@ -15,7 +15,7 @@
 import type {QueuedItem, TaskQueue} from "../placement/taskqueue.js"
 import {attemptTracker} from "./attempttracker.js"
 import type {AttemptTracker, TrackedAttempt} from "./attempttracker.js"
-import type {Logger} from "./logger.js"
+import type {Logger} from "../core/logger.js"
 import type {GroupOwnerAddress, PlacedAttempt, PlacementClient} from "./placementclient.js"
 
 /** A worker group with its owner, as last heard. */
--- a/src/controllers/fencer.ts
+++ b/src/controllers/fencer.ts
@@ -16,7 +16,7 @@
 import type {InstanceRecord} from "../ownership/record.js"
 import {PROMISE_TERM_MS} from "../ownership/timing.js"
 import type {Store} from "../platform/ports.js"
-import type {Logger} from "./logger.js"
+import type {Logger} from "../core/logger.js"
 import type {OwnershipView, Versioned} from "./ownershipview.js"
 
 export interface FencerPorts {
--- a/src/controllers/gangs.ts
+++ b/src/controllers/gangs.ts
@@ -9,7 +9,7 @@
 import type {Attempt} from "../jobs/attempt.js"
 import type {GroupIndex} from "../placement/passplan.js"
 import type {ReachableGroup} from "./dispatcher.js"
-import type {Logger} from "./logger.js"
+import type {Logger} from "../core/logger.js"
 import type {PlacementClient, PlacedAttempt, PlaceMode} from "./placementclient.js"
 
 export interface WaitingGang {
--- a/src/controllers/groupowner.ts
+++ b/src/controllers/groupowner.ts
@@ -22,7 +22,7 @@
 import {endReporter} from "./endreporter.js"
 import {groupWorkers} from "./groupworkers.js"
 import type {GroupWorkers} from "./groupworkers.js"
-import type {Logger} from "./logger.js"
+import type {Logger} from "../core/logger.js"
 
 export interface GroupOwnerPorts {
   readonly clock: Clock
--- a/src/controllers/groupworkers.ts
+++ b/src/controllers/groupworkers.ts
@@ -9,7 +9,7 @@
 import {admissionOf, cancelTest, NEW_TRUST, noteOutcome, noteTest} from "../placement/trust.js"
 import type {Trust} from "../placement/trust.js"
 import type {ListedInstance, RunningAttempt, WorkerGateway, WorkerReport} from "../platform/ports.js"
-import type {Logger} from "./logger.js"
+import type {Logger} from "../core/logger.js"
 import {workerLink} from "./workerlink.js"
 import type {StartResult, WorkerLink} from "./workerlink.js"
 
--- a/src/controllers/jobhome.ts
+++ b/src/controllers/jobhome.ts
@@ -32,7 +32,7 @@
 import {recoverJobs} from "./jobrecovery.js"
 import {jobUpkeep} from "./jobupkeep.js"
 import {journal as createJournal} from "./journal.js"
-import type {Logger} from "./logger.js"
+import type {Logger} from "../core/logger.js"
 import type {PlacedAttempt, PlacementClient} from "./placementclient.js"
 
 export interface JobHomePorts {
--- a/src/controllers/jobintake.ts
+++ b/src/controllers/jobintake.ts
@@ -10,7 +10,7 @@
 import {invalidJob, problem} from "./jobanswers.js"
 import type {JobAnswer} from "./jobanswers.js"
 import type {JobBook} from "./jobbook.js"
-import type {Logger} from "./logger.js"
+import type {Logger} from "../core/logger.js"
 
 export interface JobIntakePorts {
   readonly clock: Clock
--- a/src/controllers/jobupkeep.ts
+++ b/src/controllers/jobupkeep.ts
@@ -13,7 +13,7 @@
 import type {Dispatcher} from "./dispatcher.js"
 import type {Gangs} from "./gangs.js"
 import type {JobBook} from "./jobbook.js"
-import type {Logger} from "./logger.js"
+import type {Logger} from "../core/logger.js"
 
 export interface JobUpkeepPorts {
   readonly clock: Clock
--- a/src/controllers/leasekeeper.ts
+++ b/src/controllers/leasekeeper.ts
@@ -15,7 +15,7 @@
 import type {PeerNetwork} from "../peer/api.js"
 import {PromiseRequestSchema} from "../peer/generated/peer_pb.js"
 import type {Store} from "../platform/ports.js"
-import type {Logger} from "./logger.js"
+import type {Logger} from "../core/logger.js"
 
 export interface LeaseKeeperPorts {
   readonly clock: Clock
--- a/src/controllers/ownership.ts
+++ b/src/controllers/ownership.ts
@@ -18,7 +18,7 @@
 import {fencer} from "./fencer.js"
 import {leaseKeeper} from "./leasekeeper.js"
 import type {LeaseEnd, LeaseKeeper} from "./leasekeeper.js"
-import type {Logger} from "./logger.js"
+import type {Logger} from "../core/logger.js"
 import {currentHolders, EMPTY_VIEW, holderIsGone, mergeStored} from "./ownershipview.js"
 import type {OwnershipView, Versioned} from "./ownershipview.js"
 
--- a/src/controllers/requestrouter.ts
+++ b/src/controllers/requestrouter.ts
@@ -15,7 +15,7 @@
 import {canRetry, newRetryBudget, noteFirstAttempt, noteRetry} from "../routing/retrybudget.js"
 import type {RetryBudget} from "../routing/retrybudget.js"
 import type {PeerNetwork} from "../peer/api.js"
-import type {Logger} from "./logger.js"
+import type {Logger} from "../core/logger.js"
 import {slotBorrower} from "./slotborrower.js"
 import type {LendingGroup, Slot, SlotBorrower} from "./slotborrower.js"
 
--- a/src/controllers/slotlender.ts
+++ b/src/controllers/slotlender.ts
@@ -9,7 +9,7 @@
 import {applySlotStep, EMPTY_SLOTS, freeSlots} from "../routing/slotledger.js"
 import type {ServerSlots, SlotLedger, SlotStep} from "../routing/slotledger.js"
 import {LOAN_TERM_MS} from "../routing/timing.js"
-import type {Logger} from "./logger.js"
+import type {Logger} from "../core/logger.js"
 
 export interface SlotLenderPorts {
   readonly clock: Clock
--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -4,7 +4,7 @@
 import type {Random} from "../core/random.js"
 import {backendClient} from "../controllers/backendclient.js"
 import type {BackendClient} from "../controllers/backendclient.js"
-import type {Logger} from "../controllers/logger.js"
+import type {Logger} from "../core/logger.js"
 import {silenceWatch} from "../controllers/silence.js"
 import {bodyFilter} from "../filters/body.js"
 import {callerLimitFilter} from "../filters/callerlimit.js"
@@ -16,6 +16,7 @@
 import {idempotencyFilter} from "../filters/idempotency.js"
 import type {PeerApi} from "../peer/api.js"
 import {peerClients} from "../peer/client.js"
+import {Peer} from "../peer/generated/peer_pb.js"
 import {servePeers} from "../peer/server.js"
 import type {BackendProbe, InstanceList, Store, WorkerGateway} from "../platform/ports.js"
 import type {Settings} from "../settings/settings.js"
@@ -104,7 +105,7 @@
 
   // The peer server listens before the core exists, because the core tells its address to others.
   const peerServer = await servePeers(
-    lateApi(() => core.handlers),
+    router => router.service(Peer, {...lateApi(() => core.handlers)}),
     settings.peerAddress,
     settings.peerTls,
   )
--- a/src/filters/forward.ts
+++ b/src/filters/forward.ts
@@ -6,7 +6,7 @@
 import {once} from "node:events"
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {BackendAnswer, BackendClient, BackendOutcome} from "../controllers/backendclient.js"
-import type {Logger} from "../controllers/logger.js"
+import type {Logger} from "../core/logger.js"
 import type {RequestRouter, RequestShed, RoutedRequest} from "../controllers/requestrouter.js"
 import type {SilenceWatch, WatchedRequest} from "../controllers/silence.js"
 import type {Slot} from "../controllers/slotborrower.js"
--- a/src/index.ts
+++ b/src/index.ts
@@ -24,7 +24,7 @@
 export {jsonCaller} from "./platform/http.js"
 export {httpStore} from "./platform/httpstore.js"
 export {httpBackendProbe, httpInstanceList, httpWorkerGateway} from "./platform/httpplatform.js"
-export type {Logger} from "./controllers/logger.js"
+export type {Logger} from "./core/logger.js"
 export {systemClock} from "./core/clock.js"
 export type {Clock} from "./core/clock.js"
 export {virtualClock} from "./core/virtualclock.js"
--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -1,27 +1,18 @@
-/** Peer calls over Connect on HTTP/2, one connection for each peer, with liveness pings on the connection. */
-import {readFileSync} from "node:fs"
+/** Clients of the peer service, one connection for each peer. */
 import {createClient} from "@connectrpc/connect"
-import {createConnectTransport, Http2SessionManager} from "@connectrpc/connect-node"
+import type {Http2SessionManager} from "@connectrpc/connect-node"
 import type {Milliseconds} from "../core/clock.js"
 import type {PeerApi, PeerNetwork} from "./api.js"
+import {openPeerConnection} from "./connection.js"
+import type {PeerTls} from "./connection.js"
 import {Peer} from "./generated/peer_pb.js"
 
-/** Files for mutual TLS between peers. */
-export interface PeerTls {
-  readonly certificate: string
-  readonly key: string
-  readonly authority: string
-}
-
 export interface PeerClients extends PeerNetwork {
   readonly close: () => void
   /** Bytes are not visible through the transport; calls are counted by kind. */
   readonly calls: () => ReadonlyMap<string, number>
 }
 
-const PING_INTERVAL_MS: Milliseconds = 1000
-const PING_TIMEOUT_MS: Milliseconds = 1000
-const IDLE_TIMEOUT_MS: Milliseconds = 60_000
 const SHORT_CALL_MS: Milliseconds = 1000
 const PLACE_CALL_MS: Milliseconds = 4000
 const FORWARD_CALL_MS: Milliseconds = 5000
@@ -39,27 +30,9 @@
   const connections = new Map<string, Connection>()
   const counts = new Map<string, number>()
 
-  function sessionOptions(): object {
-    if (!tls) return {}
-    return {
-      cert: readFileSync(tls.certificate),
-      key: readFileSync(tls.key),
-      ca: readFileSync(tls.authority),
-    }
-  }
-
   function open(address: string): Connection {
-    const baseUrl = `${tls ? "https" : "http"}://${address}`
-    const pings = {
-      pingIntervalMs: PING_INTERVAL_MS,
-      pingTimeoutMs: PING_TIMEOUT_MS,
-      idleConnectionTimeoutMs: IDLE_TIMEOUT_MS,
-    }
-    const session = new Http2SessionManager(baseUrl, pings, sessionOptions())
-    const client = createClient(
-      Peer,
-      createConnectTransport({baseUrl, httpVersion: "2", sessionManager: session}),
-    )
+    const {transport, session} = openPeerConnection(address, tls)
+    const client = createClient(Peer, transport)
     const counted = <Q, R>(
       name: string,
       timeoutMs: Milliseconds,
--- /dev/null
+++ b/src/peer/fleet.ts
@@ -0,0 +1,195 @@
+/** The calls between instances that run jobs of several steps, in the project's own types. */
+import {Code, ConnectError, createClient} from "@connectrpc/connect"
+import type {ConnectRouter} from "@connectrpc/connect"
+import {err, ok} from "neverthrow"
+import type {Result} from "neverthrow"
+import type {Milliseconds} from "../core/clock.js"
+import {CallFailed, describeError} from "../core/errors.js"
+import type {PeerConnection, PeerTls} from "./connection.js"
+import {openPeerConnection} from "./connection.js"
+import {Fleet, StoreOutcome} from "./generated/fleet_pb.js"
+
+export interface Member {
+  readonly name: string
+  readonly address: string
+}
+
+/** What one queue has waiting, for answers that any instance gives. */
+export interface QueueLoad {
+  readonly queue: string
+  /** Accepted jobs without a started task. */
+  readonly pending: number
+  /** When a caller that is refused should come back; 0 while the queue accepts. */
+  readonly retryAfterMs: Milliseconds
+}
+
+export interface PingAnswer {
+  readonly leads: boolean
+  readonly term: number
+  readonly leader: Member | undefined
+  /** Time since the instance last heard the leader; 0 at the leader. */
+  readonly leaderAgeMs: Milliseconds
+  readonly storeAgeMs: Milliseconds
+  readonly configurationVersion: number
+  readonly members: readonly Member[]
+  readonly queues: readonly QueueLoad[]
+}
+
+export type StoreAnswer = "stored" | "not-stored" | "unknown" | "not-leader"
+export type CancelAnswer = "cancelled" | "ended" | "unknown-job" | "not-stored"
+
+export interface PermitRow {
+  readonly worker: string
+  readonly ticket: string
+}
+
+/** What an instance serves to its peers. */
+export interface FleetHandlers {
+  readonly ping: (sender: Member) => PingAnswer
+  readonly storeJob: (record: string) => Promise<StoreAnswer>
+  /** Empty for a job that is not known here. */
+  readonly jobState: (job: string) => string
+  readonly cancelJob: (job: string) => Promise<CancelAnswer>
+  /** Undefined when the advice service gave no answer. */
+  readonly ask: (
+    step: string,
+    workers: readonly string[],
+    timeout: Milliseconds,
+  ) => Promise<readonly PermitRow[] | undefined>
+  readonly takeOver: (term: number) => boolean
+}
+
+/** The same calls over the network. An error whose certainty is `not-run` never reached the peer. */
+export interface FleetPeer {
+  readonly ping: (sender: Member, timeout: Milliseconds) => Promise<Result<PingAnswer, CallFailed>>
+  readonly storeJob: (record: string, timeout: Milliseconds) => Promise<Result<StoreAnswer, CallFailed>>
+  readonly jobState: (job: string, timeout: Milliseconds) => Promise<Result<string, CallFailed>>
+  readonly cancelJob: (job: string, timeout: Milliseconds) => Promise<Result<CancelAnswer, CallFailed>>
+  readonly ask: (
+    step: string,
+    workers: readonly string[],
+    timeout: Milliseconds,
+  ) => Promise<Result<readonly PermitRow[] | undefined, CallFailed>>
+  readonly takeOver: (term: number, timeout: Milliseconds) => Promise<Result<boolean, CallFailed>>
+}
+
+export interface FleetClients {
+  readonly reach: (address: string) => FleetPeer
+  readonly close: () => void
+}
+
+/** The advice call itself may take its whole timeout; the answer then needs some way back. */
+const ASK_SLACK_MS: Milliseconds = 200
+
+const STORE_ANSWERS: Readonly<Record<StoreOutcome, StoreAnswer>> = {
+  [StoreOutcome.UNSPECIFIED]: "unknown",
+  [StoreOutcome.STORED]: "stored",
+  [StoreOutcome.NOT_STORED]: "not-stored",
+  [StoreOutcome.UNKNOWN]: "unknown",
+  [StoreOutcome.NOT_LEADER]: "not-leader",
+}
+
+const STORE_OUTCOMES: Readonly<Record<StoreAnswer, StoreOutcome>> = {
+  stored: StoreOutcome.STORED,
+  "not-stored": StoreOutcome.NOT_STORED,
+  unknown: StoreOutcome.UNKNOWN,
+  "not-leader": StoreOutcome.NOT_LEADER,
+}
+
+const CANCEL_ANSWERS: ReadonlySet<string> = new Set(["cancelled", "ended", "unknown-job"])
+
+function failure(address: string, error: unknown): CallFailed {
+  const cause =
+    error instanceof ConnectError ? (error.cause as {readonly code?: unknown} | undefined) : undefined
+  const refused = cause?.code === "ECONNREFUSED"
+  const unimplemented = error instanceof ConnectError && error.code === Code.Unimplemented
+  return new CallFailed(address, describeError(error), refused || unimplemented ? "not-run" : "unknown")
+}
+
+function fleetPeer(address: string, connection: PeerConnection): FleetPeer {
+  const client = createClient(Fleet, connection.transport)
+
+  async function attempt<T>(work: () => Promise<T>): Promise<Result<T, CallFailed>> {
+    try {
+      return ok(await work())
+    } catch (error) {
+      return err(failure(address, error))
+    }
+  }
+
+  return {
+    ping: (sender, timeoutMs) =>
+      attempt(async () => {
+        const reply = await client.ping({sender}, {timeoutMs})
+        return {...reply, leader: reply.leader && reply.leader.name !== "" ? reply.leader : undefined}
+      }),
+    storeJob: (record, timeoutMs) =>
+      attempt(async () => STORE_ANSWERS[(await client.storeJob({record}, {timeoutMs})).outcome]),
+    jobState: (job, timeoutMs) => attempt(async () => (await client.jobState({job}, {timeoutMs})).state),
+    cancelJob: (job, timeoutMs) =>
+      attempt(async () => {
+        const {outcome} = await client.cancelJob({job}, {timeoutMs})
+        return CANCEL_ANSWERS.has(outcome) ? (outcome as CancelAnswer) : "not-stored"
+      }),
+    ask: (step, workers, timeout) =>
+      attempt(async () => {
+        const request = {step, workers: [...workers], timeoutMs: timeout}
+        const reply = await client.ask(request, {timeoutMs: timeout + ASK_SLACK_MS})
+        return reply.answered ? reply.permits : undefined
+      }),
+    takeOver: (term, timeoutMs) => attempt(async () => (await client.takeOver({term}, {timeoutMs})).accepted),
+  }
+}
+
+/** Creates clients, one connection for each address. */
+export function fleetClients(tls: PeerTls | undefined): FleetClients {
+  const connections = new Map<string, {readonly peer: FleetPeer; readonly connection: PeerConnection}>()
+  return {
+    reach(address) {
+      const known = connections.get(address)
+      if (known) return known.peer
+      const connection = openPeerConnection(address, tls)
+      const peer = fleetPeer(address, connection)
+      connections.set(address, {peer, connection})
+      return peer
+    },
+    close() {
+      for (const {connection} of connections.values()) connection.session.abort()
+      connections.clear()
+    },
+  }
+}
+
+const NO_MEMBER: Member = {name: "", address: ""}
+
+/** Registers the handlers with a server. */
+export function fleetRoutes(handlers: FleetHandlers): (router: ConnectRouter) => void {
+  return router => {
+    router.service(Fleet, {
+      ping(request) {
+        const answer = handlers.ping(request.sender ?? NO_MEMBER)
+        return {
+          ...answer,
+          leader: answer.leader ?? NO_MEMBER,
+          leaderAgeMs: Math.round(answer.leaderAgeMs),
+          storeAgeMs: Math.round(answer.storeAgeMs),
+          members: [...answer.members],
+          queues: answer.queues.map(queue => ({...queue, retryAfterMs: Math.round(queue.retryAfterMs)})),
+        }
+      },
+      async storeJob({record}) {
+        return {outcome: STORE_OUTCOMES[await handlers.storeJob(record)]}
+      },
+      jobState: ({job}) => ({state: handlers.jobState(job)}),
+      async cancelJob({job}) {
+        const outcome = await handlers.cancelJob(job)
+        return {outcome: outcome === "not-stored" ? "" : outcome}
+      },
+      async ask({step, workers, timeoutMs}) {
+        const permits = await handlers.ask(step, workers, timeoutMs)
+        return {answered: permits !== undefined, permits: [...(permits ?? [])]}
+      },
+      takeOver: ({term}) => ({accepted: handlers.takeOver(term)}),
+    })
+  }
+}
--- a/src/peer/server.ts
+++ b/src/peer/server.ts
@@ -3,11 +3,10 @@
 import {createSecureServer, createServer} from "node:http2"
 import type {Http2SecureServer, Http2Server, ServerHttp2Session} from "node:http2"
 import type {Socket} from "node:net"
+import type {ConnectRouter} from "@connectrpc/connect"
 import {connectNodeAdapter} from "@connectrpc/connect-node"
 import {listen} from "../platform/listen.js"
-import type {PeerApi} from "./api.js"
-import type {PeerTls} from "./client.js"
-import {Peer} from "./generated/peer_pb.js"
+import type {PeerTls} from "./connection.js"
 
 export interface PeerServer {
   /** The address on which peers are served. */
@@ -17,12 +16,11 @@
   readonly close: () => Promise<void>
 }
 
-function createListener(api: PeerApi, tls: PeerTls | undefined): Http2Server | Http2SecureServer {
-  const handler = connectNodeAdapter({
-    routes(router) {
-      router.service(Peer, {...api})
-    },
-  })
+/** Registers the services of one server. */
+export type PeerRoutes = (router: ConnectRouter) => void
+
+function createListener(routes: PeerRoutes, tls: PeerTls | undefined): Http2Server | Http2SecureServer {
+  const handler = connectNodeAdapter({routes})
   if (!tls) return createServer(handler)
   const files = {
     cert: readFileSync(tls.certificate),
@@ -34,11 +32,11 @@
 
 /** Starts to serve on `host:port`; port 0 takes a free one. */
 export async function servePeers(
-  api: PeerApi,
+  routes: PeerRoutes,
   listenAddress: string,
   tls: PeerTls | undefined,
 ): Promise<PeerServer> {
-  const server = createListener(api, tls)
+  const server = createListener(routes, tls)
   const sockets = new Set<Socket>()
   const sessions = new Set<ServerHttp2Session>()
   let closedBytes = 0
--- /dev/null
+++ b/src/planner/instance.ts
@@ -0,0 +1,214 @@
+/** One instance: it serves callers and peers, follows the configuration, and plans while it leads. */
+import type {Clock, Milliseconds} from "../core/clock.js"
+import {sleep} from "../core/clock.js"
+import type {Logger} from "../core/logger.js"
+import type {Random} from "../core/random.js"
+import type {FleetClients, FleetHandlers, Member, PingAnswer, QueueLoad} from "../peer/fleet.js"
+import type {FleetConfiguration} from "../pipelines/model.js"
+import type {AdviceCalls, FleetReader, KeyValueStore, WorkerCalls} from "../pipelines/ports.js"
+import type {Asker} from "./adviser.js"
+import {createConfigurationHolder} from "./configurationholder.js"
+import {followPrefix} from "./follow.js"
+import {createIntake} from "./intake.js"
+import type {Intake} from "./intake.js"
+import {createLeadership} from "./leadership.js"
+import type {Leadership} from "./leadership.js"
+import {createPlanner} from "./planner.js"
+import type {Planner} from "./planner.js"
+
+export interface InstancePorts {
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: Logger
+  readonly store: KeyValueStore
+  readonly reader: FleetReader
+  readonly workers: WorkerCalls
+  readonly advice: AdviceCalls
+  readonly clients: FleetClients
+}
+
+export interface InstanceIdentity {
+  readonly member: Member
+  readonly life: string
+  readonly seeds: readonly string[]
+  readonly longestLease: Milliseconds
+}
+
+export interface FleetInstance {
+  readonly intake: Intake
+  readonly handlers: FleetHandlers
+  readonly configuration: () => FleetConfiguration | undefined
+  readonly isReady: () => boolean
+  readonly isDraining: () => boolean
+  readonly counts: () => Readonly<Record<string, number>>
+  readonly start: () => void
+  /** Hands the lead over and leaves the readiness checks; requests are still served. */
+  readonly drain: () => Promise<void>
+  readonly stop: () => void
+}
+
+/**
+ * Leases of running tasks: long enough that work outlasts a change of leader, short enough that a dead worker's
+ * tasks start again soon.
+ */
+const LEASE_LIFE_MS: Milliseconds = 4500
+/** The longest that a watch of the configuration waits, so that a dead connection is noticed in time. */
+const CONFIGURATION_WAIT_MS: Milliseconds = 1000
+const LOAD_RETRY_MS: Milliseconds = 100
+/** Without a leader for this span an instance tells the platform that it is not ready. */
+const LEADERLESS_MS: Milliseconds = 3000
+
+export function createFleetInstance(identity: InstanceIdentity, ports: InstancePorts): FleetInstance {
+  const {clock, log, store, reader, clients, advice} = ports
+  let planner: Planner | undefined
+  let loads: readonly QueueLoad[] = []
+  let draining = false
+  let stopped = false
+  let storeAnswerAt = clock.now()
+
+  const configuration = createConfigurationHolder(reader, log, () => planner?.planSoon())
+  const leadership: Leadership = createLeadership({
+    ...ports,
+    self: identity.member,
+    life: identity.life,
+    seeds: identity.seeds,
+    onLead: term => void lead(term),
+    onLeaderAnswer(answer) {
+      loads = answer.queues
+    },
+    confirmedAt: () => planner?.confirmedAt(),
+  })
+
+  async function lead(term: number): Promise<void> {
+    planner?.close()
+    const created = createPlanner(
+      term,
+      {leaseLife: Math.min(LEASE_LIFE_MS, identity.longestLease)},
+      {
+        ...ports,
+        askers,
+        configuration: configuration.current,
+        onSuperseded() {
+          if (planner !== created) return
+          planner = undefined
+          leadership.superseded()
+        },
+      },
+    )
+    planner = created
+    while (planner === created && !stopped) {
+      if (await created.load()) return
+      await sleep(clock, LOAD_RETRY_MS)
+    }
+  }
+
+  async function ask(
+    step: string,
+    workers: readonly string[],
+    timeout: Milliseconds,
+  ): ReturnType<FleetHandlers["ask"]> {
+    const answer = await advice.ask(step, workers, timeout)
+    if (answer.isErr())
+      log.warn({event: "advice-error", step, reason: answer.error.message}, "no advice was given")
+    return answer.unwrapOr(undefined)
+  }
+
+  function askerOf(member: Member): Asker {
+    if (member.name === identity.member.name) return {name: member.name, ask}
+    return {
+      name: member.name,
+      async ask(step, workers, timeout) {
+        const answer = await clients.reach(member.address).ask(step, workers, timeout)
+        return answer.unwrapOr(undefined)
+      },
+    }
+  }
+
+  function askers(): readonly Asker[] {
+    return leadership.members().map(askerOf)
+  }
+
+  function storeAge(): Milliseconds {
+    return clock.now() - Math.max(storeAnswerAt, planner?.confirmedAt() ?? 0)
+  }
+
+  function answerPing(sender: Member): PingAnswer {
+    leadership.noteMember(sender)
+    const view = leadership.leader()
+    return {
+      leads: leadership.leads() && planner !== undefined,
+      term: view?.term ?? 0,
+      leader: view?.member,
+      leaderAgeMs: Math.min(leadership.leaderAge(), 1e6),
+      storeAgeMs: storeAge(),
+      configurationVersion: configuration.current()?.version ?? 0,
+      members: leadership.members(),
+      queues: planner?.loads() ?? loads,
+    }
+  }
+
+  const handlers: FleetHandlers = {
+    ping: answerPing,
+    storeJob: async record => planner?.storeJob(record) ?? "not-leader",
+    jobState: job => planner?.stateOf(job) ?? "",
+    cancelJob: async job => planner?.cancel(job) ?? "not-stored",
+    ask,
+    takeOver: term => leadership.takeOver(term),
+  }
+
+  const intake = createIntake({
+    clock,
+    log,
+    store,
+    clients,
+    leadership,
+    planner: () => planner,
+    loads: () => planner?.loads() ?? loads,
+  })
+
+  function follow(): void {
+    void followPrefix(
+      store,
+      reader.operatorPrefix,
+      {wait: CONFIGURATION_WAIT_MS, pause: 0},
+      clock,
+      {
+        onList: configuration.onList,
+        onChanges: configuration.onChanges,
+        onAnswer() {
+          storeAnswerAt = clock.now()
+        },
+      },
+      () => stopped,
+    )
+  }
+
+  return {
+    intake,
+    handlers,
+    configuration: configuration.current,
+    isReady() {
+      if (draining || !configuration.current()) return false
+      return planner !== undefined || leadership.leaderAge() < LEADERLESS_MS
+    },
+    isDraining: () => draining,
+    counts: () => ({
+      leads: leadership.leads() ? 1 : 0,
+      members: leadership.members().length,
+      ...planner?.counts(),
+    }),
+    start() {
+      follow()
+      leadership.start()
+    },
+    async drain() {
+      draining = true
+      await leadership.handOver()
+    },
+    stop() {
+      stopped = true
+      leadership.stop()
+      planner?.close()
+    },
+  }
+}
--- /dev/null
+++ b/src/planner/intake.ts
@@ -0,0 +1,175 @@
+/**
+ * What any instance does for a caller: hand in a job, tell its state, cancel it, count what waits. The leader does
+ * it where it can be reached; otherwise the instance goes to the store by itself, so that no answer depends on one
+ * process.
+ */
+import type {Clock, Milliseconds} from "../core/clock.js"
+import {sleep} from "../core/clock.js"
+import type {Logger} from "../core/logger.js"
+import type {CancelAnswer, FleetClients, QueueLoad, StoreAnswer} from "../peer/fleet.js"
+import type {PipelineJob} from "../pipelines/model.js"
+import type {KeyValueStore} from "../pipelines/ports.js"
+import type {ShownState} from "./jobtable.js"
+import type {Leadership} from "./leadership.js"
+import type {Planner} from "./planner.js"
+import {cancelKey, formatJob, jobKey, parseProgress, progressKey} from "./records.js"
+
+export type SubmitAnswer =
+  | {readonly type: "stored"}
+  /** Surely not stored; the job never runs. */
+  | {readonly type: "refused"; readonly retryAfter: Milliseconds}
+  /** Whether the job is stored is not known: the caller may ask again with the same name. */
+  | {readonly type: "unknown"}
+
+export type StateAnswer =
+  | {readonly type: "state"; readonly state: ShownState}
+  | {readonly type: "unknown-job"}
+  | {readonly type: "unavailable"}
+export type CancelOutcome = "cancelled" | "unknown-job" | "unavailable"
+
+export interface Intake {
+  readonly submit: (job: PipelineJob, patience: Milliseconds) => Promise<SubmitAnswer>
+  readonly state: (job: string) => Promise<StateAnswer>
+  readonly cancel: (job: string) => Promise<CancelOutcome>
+  readonly pending: (queue: string) => number
+}
+
+export interface IntakePorts {
+  readonly clock: Clock
+  readonly log: Logger
+  readonly store: KeyValueStore
+  readonly clients: FleetClients
+  readonly leadership: Leadership
+  readonly planner: () => Planner | undefined
+  readonly loads: () => readonly QueueLoad[]
+}
+
+/** A leader that has not answered for this span is passed over. */
+const LEADER_SILENT_MS: Milliseconds = 1000
+const STATE_TIMEOUT_MS: Milliseconds = 600
+const CANCEL_TIMEOUT_MS: Milliseconds = 1500
+/** Left of the caller's patience for going to the store without the leader. */
+const DIRECT_RESERVE_MS: Milliseconds = 900
+const LEAST_TIMEOUT_MS: Milliseconds = 200
+/** Pause before a second direct try. */
+const RETRY_MS: Milliseconds = 150
+const RETRY_AFTER_MS: Milliseconds = 1000
+
+export function createIntake(ports: IntakePorts): Intake {
+  const {clock, log, store, clients, leadership, planner, loads} = ports
+
+  function leaderAddress(): string | undefined {
+    const leader = leadership.leader()
+    if (!leader || leadership.leads() || leadership.leaderAge() > LEADER_SILENT_MS) return undefined
+    return leader.member.address
+  }
+
+  async function storeAtLeader(job: PipelineJob, patience: Milliseconds): Promise<StoreAnswer> {
+    const own = planner()
+    const record = formatJob(job)
+    if (own) return own.storeJob(record)
+    const address = leaderAddress()
+    if (address === undefined) return "not-leader"
+    const timeout = Math.max(LEAST_TIMEOUT_MS, patience - DIRECT_RESERVE_MS)
+    const answer = await clients.reach(address).storeJob(record, timeout)
+    if (answer.isOk()) return answer.value
+    return answer.error.certainty === "not-run" ? "not-stored" : "unknown"
+  }
+
+  /** Writes the job without the leader, which finds it in the store. */
+  async function storeDirectly(job: PipelineJob): Promise<StoreAnswer> {
+    const result = await store.commit({
+      conditions: [
+        {key: jobKey(job.id), revision: 0},
+        {key: progressKey(job.id), revision: 0},
+      ],
+      writes: [{key: jobKey(job.id), value: formatJob(job)}],
+      removals: [],
+    })
+    if (result.isOk()) return "stored"
+    return result.error.certainty === "not-run" ? "not-stored" : "unknown"
+  }
+
+  async function submit(job: PipelineJob, patience: Milliseconds): Promise<SubmitAnswer> {
+    const deadline = clock.now() + patience
+    const first = await storeAtLeader(job, patience)
+    let uncertain = first === "unknown"
+    if (first === "stored") return {type: "stored"}
+    for (let attempt = 0; attempt < 2 && clock.now() + LEAST_TIMEOUT_MS < deadline; attempt += 1) {
+      const direct = await storeDirectly(job)
+      if (direct === "stored") {
+        log.info(
+          {event: "stored-directly", job: job.id, leader: first},
+          "a job was stored without the leader",
+        )
+        return {type: "stored"}
+      }
+      uncertain ||= direct === "unknown"
+      await sleep(clock, RETRY_MS)
+    }
+    if (uncertain) return {type: "unknown"}
+    return {type: "refused", retryAfter: RETRY_AFTER_MS}
+  }
+
+  async function stateInStore(job: string): Promise<StateAnswer> {
+    const [stored, progress] = await Promise.all([store.read(jobKey(job)), store.read(progressKey(job))])
+    if (stored.isErr() || progress.isErr()) return {type: "unavailable"}
+    const record = progress.value && parseProgress(progress.value.value)
+    if (record?.outcome) return {type: "state", state: record.outcome}
+    if (record) return {type: "state", state: "running"}
+    if (stored.value) return {type: "state", state: "queued"}
+    // The job may have ended between the two reads.
+    const again = await store.read(progressKey(job))
+    if (again.isErr()) return {type: "unavailable"}
+    const late = again.value && parseProgress(again.value.value)
+    return late?.outcome ? {type: "state", state: late.outcome} : {type: "unknown-job"}
+  }
+
+  async function state(job: string): Promise<StateAnswer> {
+    const own = planner()
+    const known = own?.stateOf(job)
+    if (known) return {type: "state", state: known}
+    const address = own ? undefined : leaderAddress()
+    if (address !== undefined) {
+      const answer = await clients.reach(address).jobState(job, STATE_TIMEOUT_MS)
+      if (answer.isOk() && answer.value !== "") return {type: "state", state: answer.value as ShownState}
+    }
+    return stateInStore(job)
+  }
+
+  async function cancelAtLeader(job: string): Promise<CancelAnswer> {
+    const own = planner()
+    if (own) return own.cancel(job)
+    const address = leaderAddress()
+    if (address === undefined) return "not-stored"
+    const answer = await clients.reach(address).cancelJob(job, CANCEL_TIMEOUT_MS)
+    return answer.unwrapOr("not-stored")
+  }
+
+  /** Leaves a mark in the store, which the leader finds. */
+  async function cancelDirectly(job: string): Promise<CancelOutcome> {
+    const found = await stateInStore(job)
+    if (found.type === "unavailable") return "unavailable"
+    if (found.type === "unknown-job") return "unknown-job"
+    if (found.state !== "queued" && found.state !== "running") return "cancelled"
+    const result = await store.commit({
+      conditions: [{key: cancelKey(job), revision: 0}],
+      writes: [{key: cancelKey(job), value: ""}],
+      removals: [],
+    })
+    return result.isOk() ? "cancelled" : "unavailable"
+  }
+
+  async function cancel(job: string): Promise<CancelOutcome> {
+    const answer = await cancelAtLeader(job)
+    if (answer === "cancelled" || answer === "ended") return "cancelled"
+    return cancelDirectly(job)
+  }
+
+  return {
+    submit,
+    state,
+    cancel,
+    pending: queue => loads().find(load => load.queue === queue)?.pending ?? 0,
+  }
+}
--- /dev/null
+++ b/src/planner/leadership.ts
@@ -0,0 +1,268 @@
+/**
+ * Which instance leads. One key in the store names the leader; its revision is the term, which workers and the store
+ * use to refuse a deposed leader. So leading needs no lease: a follower that finds the leader dead, or cut off from
+ * the store, replaces the key at once, and a leader that was wrongly thought dead does no harm.
+ */
+import type {Clock, Milliseconds} from "../core/clock.js"
+import {sleep} from "../core/clock.js"
+import type {Random} from "../core/random.js"
+import type {Logger} from "../core/logger.js"
+import type {FleetClients, Member, PingAnswer} from "../peer/fleet.js"
+import type {KeyValueStore, StoredItem} from "../pipelines/ports.js"
+import {formatLeader, LEADER_KEY, parseLeader} from "./records.js"
+
+export interface LeaderView {
+  readonly term: number
+  readonly member: Member
+}
+
+export interface LeadershipPorts {
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: Logger
+  readonly store: KeyValueStore
+  readonly clients: FleetClients
+  readonly self: Member
+  /** Differs for each life of the process. */
+  readonly life: string
+  /** Addresses at which other instances may be found. */
+  readonly seeds: readonly string[]
+  readonly onLead: (term: number) => void
+  /** A ping was answered by the leader. */
+  readonly onLeaderAnswer: (answer: PingAnswer) => void
+  /** When the store last answered this instance while it leads; undefined while it does not lead. */
+  readonly confirmedAt: () => Milliseconds | undefined
+}
+
+export interface Leadership {
+  readonly leader: () => LeaderView | undefined
+  readonly leads: () => boolean
+  /** Time since the leader last answered; 0 at the leader. */
+  readonly leaderAge: () => Milliseconds
+  readonly members: () => readonly Member[]
+  readonly noteMember: (member: Member) => void
+  /** The planner was refused by a worker or by the store, because another one leads. */
+  readonly superseded: () => void
+  /** Asks a follower to take the lead, before a planned stop. */
+  readonly handOver: () => Promise<void>
+  /** Takes the lead from the given term, on its leader's request. */
+  readonly takeOver: (term: number) => boolean
+  readonly start: () => void
+  readonly stop: () => void
+}
+
+const PING_INTERVAL_MS: Milliseconds = 250
+const PING_TIMEOUT_MS: Milliseconds = 450
+/** Pings in a row without an answer after which the leader counts as silent. */
+const SILENT_PINGS = 2
+/** A leader that has had no answer of the store for this span is replaced by a follower that reaches the store. */
+const CUT_OFF_MS: Milliseconds = 1500
+/** Another follower that heard the leader within this span speaks for it. */
+const HEARD_MS: Milliseconds = 700
+/** An instance that reaches no other one leaves the lead alone for this long. */
+const ISOLATED_MS: Milliseconds = 5000
+/** Instances that find the leader dead try in random order within this span. */
+const STAGGER_MS: Milliseconds = 60
+const RETRY_MS: Milliseconds = 150
+/** A member that has not pinged the leader within this span is left out. */
+const MEMBER_LIFE_MS: Milliseconds = 1500
+
+export function createLeadership(ports: LeadershipPorts): Leadership {
+  const {clock, random, log, store, clients, self, life} = ports
+  let known: LeaderView | undefined
+  let leading = false
+  let heardAt = -Infinity
+  let silentPings = 0
+  let stopped = false
+  let draining = false
+  let isolatedSince: Milliseconds | undefined
+  const memberSeen = new Map<string, {readonly member: Member; readonly at: Milliseconds}>()
+  let announced: readonly Member[] = []
+
+  function adopt(term: number, member: Member): void {
+    if (known && term <= known.term) return
+    known = {term, member}
+    leading = false
+    silentPings = 0
+    heardAt = clock.now()
+    log.info({event: "leader", term, leader: member.name}, "an instance leads")
+  }
+
+  function adoptItem(item: StoredItem): void {
+    const record = parseLeader(item.value)
+    if (!record) {
+      log.error({event: "leader-unreadable", revision: item.revision}, "the leader's key cannot be read")
+      return
+    }
+    // A key of an earlier life of this process names nobody.
+    if (record.name === self.name && record.life !== life) known = undefined
+    else if (!leading) adopt(item.revision, {name: record.name, address: record.address})
+  }
+
+  /** Replaces the key that has the given revision. */
+  async function claim(revision: number): Promise<void> {
+    const result = await store.commit({
+      conditions: [{key: LEADER_KEY, revision}],
+      writes: [{key: LEADER_KEY, value: formatLeader({...self, life})}],
+      removals: [],
+    })
+    if (stopped) return
+    if (result.isErr()) {
+      log.warn({event: "claim-failed", reason: result.error.message}, "the lead could not be claimed")
+      return
+    }
+    if (result.value.type === "committed") {
+      lead(result.value.revision)
+      return
+    }
+    const [item] = result.value.items
+    if (!item) return
+    // The reply to an earlier claim may have been lost.
+    if (parseLeader(item.value)?.life === life) lead(item.revision)
+    else adoptItem(item)
+  }
+
+  function lead(term: number): void {
+    if (leading && known?.term === term) return
+    known = {term, member: self}
+    leading = true
+    heardAt = clock.now()
+    isolatedSince = undefined
+    log.info({event: "leading", term, instance: self.name}, "this instance leads")
+    ports.onLead(term)
+  }
+
+  /** True when no other instance speaks for the leader, so that this one may claim. */
+  async function mayClaim(term: number): Promise<boolean> {
+    const others = knownAddresses().filter(address => address !== known?.member.address)
+    if (others.length === 0) return true
+    const answers = await Promise.all(
+      others.map(address => clients.reach(address).ping(self, PING_TIMEOUT_MS)),
+    )
+    const reached = answers.filter(answer => answer.isOk()).map(answer => answer.value)
+    for (const answer of reached) {
+      if (answer.leader && answer.term > term) adopt(answer.term, answer.leader)
+    }
+    if (reached.some(answer => answer.term === term && answer.leaderAgeMs < HEARD_MS && !answer.leads))
+      return false
+    if (reached.length > 0) {
+      isolatedSince = undefined
+      return (known?.term ?? 0) === term
+    }
+    isolatedSince ??= clock.now()
+    return clock.now() - isolatedSince > ISOLATED_MS
+  }
+
+  function knownAddresses(): readonly string[] {
+    const addresses = new Set<string>(ports.seeds)
+    for (const member of announced) addresses.add(member.address)
+    addresses.delete(self.address)
+    return [...addresses]
+  }
+
+  /** Reads the key and claims it where its leader is dead or absent. */
+  async function resolveLeader(dead: boolean): Promise<void> {
+    const read = await store.read(LEADER_KEY)
+    if (stopped || leading || draining) return
+    if (read.isErr()) return
+    const item = read.value
+    if (!item) {
+      await sleep(clock, random.next() * STAGGER_MS)
+      await claim(0)
+      return
+    }
+    const term = known?.term ?? 0
+    if (item.revision > term) adoptItem(item)
+    if (known && item.revision > term) return
+    if (known && !dead) return
+    if (known && !(await mayClaim(item.revision))) return
+    await sleep(clock, random.next() * STAGGER_MS)
+    if (known === undefined || known.term === item.revision) await claim(item.revision)
+  }
+
+  async function pingLeader(view: LeaderView): Promise<void> {
+    const answer = await clients.reach(view.member.address).ping(self, PING_TIMEOUT_MS)
+    if (stopped || known !== view) return
+    if (answer.isErr()) {
+      silentPings += answer.error.certainty === "not-run" ? SILENT_PINGS : 1
+      if (silentPings >= SILENT_PINGS) await resolveLeader(true)
+      return
+    }
+    const reply = answer.value
+    if (!reply.leads) {
+      if (reply.leader && reply.term > view.term) adopt(reply.term, reply.leader)
+      else await resolveLeader(true)
+      return
+    }
+    silentPings = 0
+    heardAt = clock.now()
+    announced = reply.members
+    ports.onLeaderAnswer(reply)
+    if (reply.term === view.term && reply.storeAgeMs > CUT_OFF_MS) await replaceCutOff(view.term)
+  }
+
+  /** The leader has no answer of the store: this instance takes over if it has one. */
+  async function replaceCutOff(term: number): Promise<void> {
+    const read = await store.read(LEADER_KEY)
+    if (read.isErr() || stopped || draining || read.value?.revision !== term) return
+    log.warn({event: "leader-cut-off", term}, "the leader does not reach the store")
+    await sleep(clock, random.next() * STAGGER_MS)
+    await claim(term)
+  }
+
+  async function loop(): Promise<void> {
+    while (!stopped) {
+      if (!leading) {
+        if (known) await pingLeader(known)
+        else await resolveLeader(true)
+      }
+      await sleep(clock, known ? PING_INTERVAL_MS : RETRY_MS)
+    }
+  }
+
+  function currentMembers(): readonly Member[] {
+    if (!leading) return announced
+    const now = clock.now()
+    return [...memberSeen.values()]
+      .filter(({at}) => now - at < MEMBER_LIFE_MS)
+      .map(({member}) => member)
+      .concat(self)
+  }
+
+  return {
+    leader: () => known,
+    leads: () => leading,
+    leaderAge: () => (leading ? 0 : clock.now() - heardAt),
+    members: currentMembers,
+    noteMember(member) {
+      if (member.name !== "" && member.name !== self.name)
+        memberSeen.set(member.name, {member, at: clock.now()})
+    },
+    superseded() {
+      leading = false
+      known = undefined
+    },
+    async handOver() {
+      draining = true
+      if (!leading || !known) return
+      const {term} = known
+      const fresh = [...memberSeen.values()].sort((one, other) => other.at - one.at)
+      for (const {member} of fresh) {
+        const accepted = await clients.reach(member.address).takeOver(term, PING_TIMEOUT_MS)
+        if (accepted.isOk() && accepted.value) {
+          log.info({event: "hand-over", term, to: member.name}, "the lead is handed over")
+          return
+        }
+      }
+    },
+    takeOver(term) {
+      if (draining || stopped || leading || known?.term !== term) return false
+      void claim(term)
+      return true
+    },
+    start: () => void loop(),
+    stop() {
+      stopped = true
+    },
+  }
+}
--- /dev/null
+++ b/src/planner/planningpass.ts
@@ -0,0 +1,193 @@
+/**
+ * One pass over the steps that wait: the most urgent first, each gets workers that have room and a ticket; for the
+ * rest advice is asked. Gives decisions; the planner carries them out.
+ */
+import type {Milliseconds} from "../core/clock.js"
+import type {Resources} from "../core/resources.js"
+import {fits, subtract} from "../core/resources.js"
+import {chooseWorkersToAsk} from "../pipelines/asking.js"
+import type {AskOption} from "../pipelines/asking.js"
+import type {Queue} from "../pipelines/model.js"
+import {compareWaiting, objectiveOf} from "../pipelines/order.js"
+import type {WaitingStep} from "../pipelines/order.js"
+import {placeTasks} from "../pipelines/placing.js"
+import type {WorkerOption} from "../pipelines/placing.js"
+import {mayBegin} from "../pipelines/progress.js"
+import type {ActiveJob, StepRun, WorkerState} from "./state.js"
+import {roomOf} from "./state.js"
+
+/** A ticket with less than this left may have lapsed when the start arrives. */
+const TICKET_MARGIN_MS: Milliseconds = 60
+/** Steps for which advice is asked ahead of room, for each service. */
+const AHEAD_STEPS = 4
+
+export interface PassView {
+  readonly now: Milliseconds
+  readonly wallClock: Milliseconds
+  readonly active: Iterable<ActiveJob>
+  readonly workers: Iterable<WorkerState>
+  readonly queueOf: (active: ActiveJob) => Queue
+  /** False while an earlier leader's runs of inherited jobs may be at a worker of the service. */
+  readonly mayStartInherited: (service: string) => boolean
+  /** The share of workers that a queue's policy usually allows. */
+  readonly allowedShare: (queue: string) => number
+  /** Instances that have no call for advice in hand. */
+  readonly idleAskers: number
+}
+
+export interface PassActions {
+  /** Starts the tasks of a step, one at each of the workers, and takes their room at once. */
+  readonly start: (run: StepRun, workers: readonly WorkerState[]) => void
+  readonly ask: (run: StepRun, queue: Queue, workers: readonly string[]) => void
+}
+
+interface OpenStep {
+  readonly run: StepRun
+  readonly queue: Queue
+  readonly rank: WaitingStep
+}
+
+export function isUsable(worker: WorkerState, now: Milliseconds): boolean {
+  const known = worker.listed && worker.fenced && worker.recorded && worker.reachable
+  return (
+    known && !worker.listing.leaving && !worker.closed && worker.strangers === 0 && now >= worker.avoidUntil
+  )
+}
+
+export function freeAt(worker: WorkerState): Resources {
+  return subtract(worker.listing.capacity, worker.used)
+}
+
+function dueAt(run: StepRun): number {
+  const {job} = run.owner
+  return job.firstDue === 0 ? 0 : job.firstDue + run.occurrence * job.interval
+}
+
+function isOpen(run: StepRun, view: PassView): boolean {
+  const {owner, step} = run
+  if (run.waiting.size === 0 || owner.progress.outcome !== undefined || run.retryAt > view.now) return false
+  if (step.gang && (run.assignments.size > 0 || run.waiting.size < step.count)) return false
+  return dueAt(run) <= view.wallClock && mayBegin(owner.job, owner.progress, run.occurrence, run.stepIndex)
+}
+
+function openSteps(view: PassView): readonly OpenStep[] {
+  const steps: OpenStep[] = []
+  for (const active of view.active) {
+    const queue = view.queueOf(active)
+    if (active.inherited && !view.mayStartInherited(queue.service)) continue
+    for (const run of active.runs) {
+      if (!isOpen(run, view)) continue
+      const due = active.knownSince + objectiveOf(active.job, queue)
+      const work = run.waiting.size * run.step.demand.processors * run.step.estimate
+      steps.push({run, queue, rank: {priority: queue.priority, due, work, arrived: active.knownSince}})
+    }
+  }
+  return steps.sort((one, other) => compareWaiting(one.rank, other.rank, view.now))
+}
+
+function heldBy(run: StepRun, worker: WorkerState): number {
+  let held = 0
+  for (const assignment of run.assignments) if (assignment.worker === worker) held += 1
+  return held
+}
+
+function optionOf(run: StepRun, worker: WorkerState): WorkerOption {
+  let serving = 0
+  let filling = 0
+  for (const other of worker.assignments.values()) {
+    if (other.run.step.tailLimit > 0) serving += 1
+    if (other.run.step.fills) filling += 1
+  }
+  const ends = worker.failureWeight + worker.successWeight
+  return {
+    id: worker.listing.id,
+    rack: worker.listing.rack,
+    free: freeAt(worker),
+    capacity: worker.listing.capacity,
+    held: heldBy(run, worker),
+    serving,
+    filling,
+    failureShare: ends > 0 ? worker.failureWeight / (ends + 1) : 0,
+    speed: 1,
+  }
+}
+
+function hasTicket(run: StepRun, worker: WorkerState, now: Milliseconds): boolean {
+  const held = run.tickets.get(worker.listing.id)
+  return held !== undefined && held.expires > now + TICKET_MARGIN_MS
+}
+
+function eligible(run: StepRun, queue: Queue, pool: readonly WorkerState[]): readonly WorkerState[] {
+  const {label} = run.step
+  return pool.filter(
+    ({listing}) => listing.service === queue.service && (label === "" || listing.labels.includes(label)),
+  )
+}
+
+/** Places what can be placed of a step now. */
+function place(
+  open: OpenStep,
+  workers: readonly WorkerState[],
+  now: Milliseconds,
+  actions: PassActions,
+): void {
+  const {run, queue} = open
+  const demand = roomOf(run.step)
+  const ready = workers.filter(
+    worker => fits(demand, freeAt(worker)) && (queue.advice === undefined || hasTicket(run, worker, now)),
+  )
+  if (ready.length === 0) return
+  const chosen = placeTasks(
+    run.step,
+    run.waiting.size,
+    ready.map(worker => optionOf(run, worker)),
+  )
+  if (chosen.length === 0) return
+  const byId = new Map(ready.map(worker => [worker.listing.id, worker]))
+  actions.start(
+    run,
+    chosen.map(id => byId.get(id)).filter(worker => worker !== undefined),
+  )
+}
+
+/** Asks for advice where room is, or ahead of room for the first steps of a service. */
+function ask(
+  open: OpenStep,
+  workers: readonly WorkerState[],
+  ahead: boolean,
+  view: PassView,
+  actions: PassActions,
+): void {
+  const {run, queue} = open
+  if (run.asking || run.waiting.size === 0) return
+  const options: AskOption[] = workers
+    .filter(worker => run.verdicts.get(worker.listing.id) !== false && !hasTicket(run, worker, view.now))
+    .map(worker => ({
+      id: worker.listing.id,
+      free: freeAt(worker),
+      held: heldBy(run, worker),
+      allowed: run.verdicts.get(worker.listing.id) === true,
+    }))
+  const share = view.allowedShare(queue.name)
+  let chosen = chooseWorkersToAsk(run.step, run.waiting.size, options, share, false)
+  if (chosen.length === 0 && ahead && run.verdicts.size === 0)
+    chosen = chooseWorkersToAsk(run.step, run.waiting.size, options, share, true)
+  if (chosen.length > 0) actions.ask(run, queue, chosen)
+}
+
+/** Runs one pass. */
+export function planPass(view: PassView, actions: PassActions): void {
+  const pool = [...view.workers].filter(worker => isUsable(worker, view.now))
+  const asked = new Map<string, number>()
+  let idle = view.idleAskers
+  for (const open of openSteps(view)) {
+    const workers = eligible(open.run, open.queue, pool)
+    place(open, workers, view.now, actions)
+    if (!open.queue.advice || open.run.waiting.size === 0) continue
+    const rank = asked.get(open.queue.service) ?? 0
+    asked.set(open.queue.service, rank + 1)
+    const before = open.run.asking
+    ask(open, workers, rank < AHEAD_STEPS && idle > 0, view, actions)
+    if (!before && open.run.asking) idle -= 1
+  }
+}
--- /dev/null
+++ b/src/planner/reports.ts
@@ -0,0 +1,199 @@
+/**
+ * Takes in what workers report: ends of runs, runs that a former leader started, runs that are no longer there. Each
+ * end is handled once, and counts as noted at the worker only when its effect is stored.
+ */
+import type {Clock, Milliseconds} from "../core/clock.js"
+import type {Logger} from "../core/logger.js"
+import type {TaskName} from "../pipelines/model.js"
+import {parseTask} from "../pipelines/model.js"
+import {isDone} from "../pipelines/progress.js"
+import type {EndedTask, RunningTask, WorkerReport} from "../pipelines/ports.js"
+import type {JobTable} from "./jobtable.js"
+import type {Assignment, StepRun, WorkerState} from "./state.js"
+import {assign, assignmentKey, findRun, release} from "./state.js"
+import type {WorkerLink} from "./workerlink.js"
+
+/** Weight that an end keeps after the next one; about the last ten ends count. */
+const END_DECAY = 0.9
+
+export interface ReportContext {
+  readonly clock: Clock
+  readonly log: Logger
+  readonly jobs: JobTable
+  readonly leaseLife: Milliseconds
+  readonly linkOf: (worker: WorkerState) => WorkerLink | undefined
+  /** Room has become free or a step may begin. */
+  readonly onChange: () => void
+  /** A worker has answered for the first time in this term. */
+  readonly onFenced: (worker: WorkerState) => void
+}
+
+export interface ReportReader {
+  /** Resolves when every end that the report lists is stored. */
+  readonly take: (worker: WorkerState, report: WorkerReport, sentAt: Milliseconds) => Promise<void>
+}
+
+export function createReportReader(context: ReportContext): ReportReader {
+  const {clock, log, jobs, leaseLife, linkOf, onChange, onFenced} = context
+  /** For each worker, settles when the ends handled so far are stored. */
+  const storing = new Map<WorkerState, Promise<void>>()
+
+  function drop(assignment: Assignment): void {
+    release(assignment)
+    jobs.dropIfOver(assignment.run.owner)
+    onChange()
+  }
+
+  /** The worker has started anew and knows nothing of its former life. */
+  function forgetLife(worker: WorkerState, report: WorkerReport): void {
+    log.warn({event: "worker-restarted", worker: worker.listing.id}, "a worker has started anew")
+    worker.handled = 0
+    worker.noted = 0
+    // An order to the former life may still reach the new one, under a deadline that is short of this.
+    worker.deadline = report.clock + leaseLife
+    storing.delete(worker)
+    for (const assignment of [...worker.assignments.values()]) {
+      if (assignment.confirmedAt !== undefined) drop(assignment)
+      else linkOf(worker)?.stop(assignment)
+    }
+  }
+
+  /** The run that an end or a running task belongs to. */
+  function runOf(name: TaskName): StepRun | undefined {
+    const active = jobs.active.get(name.job)
+    const run = active && findRun(active, name.occurrence, name.step)
+    return run && name.index < run.step.count ? run : undefined
+  }
+
+  /** False when a later attempt of the task is somewhere else, so that the end comes from a run given up. */
+  function isCurrent(run: StepRun, ended: EndedTask, index: number): boolean {
+    for (const other of run.assignments) {
+      if (run.step.gang ? other.attempt !== ended.attempt : other.index === index) return false
+    }
+    return true
+  }
+
+  function rate(worker: WorkerState, ended: EndedTask): void {
+    if (ended.end !== "done" && ended.end !== "failed") return
+    worker.failureWeight = worker.failureWeight * END_DECAY + (ended.end === "failed" ? 1 : 0)
+    worker.successWeight = worker.successWeight * END_DECAY + (ended.end === "done" ? 1 : 0)
+  }
+
+  function takeEnd(worker: WorkerState, ended: EndedTask): Promise<void> | undefined {
+    const name = parseTask(ended.task)
+    const run = name && runOf(name)
+    if (!name || !run) return undefined
+    const assignment = worker.assignments.get(assignmentKey(ended.task, ended.attempt))
+    const {owner} = run
+    const {id} = worker.listing
+    log.info(
+      {event: "run-ended", task: ended.task, attempt: ended.attempt, worker: id, end: ended.end},
+      "a run has ended",
+    )
+    rate(worker, ended)
+    if (ended.checkpoint !== "") run.checkpoints.set(run.step.gang ? 0 : name.index, ended.checkpoint)
+    const counter = run.step.gang ? 0 : name.index
+    run.attempts.set(counter, Math.max(ended.attempt, run.attempts.get(counter) ?? 0))
+    let stored: Promise<void> | undefined
+    if (ended.end === "done" && (assignment || isCurrent(run, ended, name.index))) {
+      stored = jobs.change(owner, {type: "task-done", task: name})
+      if (isDone(owner.progress, name)) settleDone(run, name)
+    } else if (ended.end === "failed") {
+      stored = jobs.change(owner, {
+        type: "task-failed",
+        task: name,
+        attempts: jobs.queueOf(owner.job).attempts,
+      })
+    }
+    if (assignment) drop(assignment)
+    jobs.dropIfOver(owner)
+    return stored?.then(() => jobs.dropIfOver(owner))
+  }
+
+  function settleDone(run: StepRun, name: TaskName): void {
+    if (run.step.gang) run.waiting.clear()
+    else run.waiting.delete(name.index)
+  }
+
+  /** A run that this leader has not started: it is taken over if its task is open, and stopped otherwise. */
+  function takeStranger(worker: WorkerState, running: RunningTask): boolean {
+    const name = parseTask(running.task)
+    const run = name && runOf(name)
+    if (name && run?.owner.progress.outcome === undefined && run?.waiting.has(name.index)) {
+      const assignment = assign(run, name.index, running.attempt, worker, clock.now())
+      assignment.phase = "running"
+      assignment.confirmedAt = clock.now()
+      run.owner.started = true
+      update(assignment, running)
+      return true
+    }
+    const {id} = worker.listing
+    log.info(
+      {event: "stranger-stopped", task: running.task, attempt: running.attempt, worker: id},
+      "a run that no active job needs is stopped",
+    )
+    linkOf(worker)?.stopStranger(running.task, running.attempt)
+    return false
+  }
+
+  function update(assignment: Assignment, running: RunningTask): void {
+    assignment.confirmedAt ??= clock.now()
+    assignment.percent = running.percent
+    assignment.gauge = running.gauge
+    if (assignment.phase === "starting") assignment.phase = "running"
+    const {run, index} = assignment
+    if (running.checkpoint !== "") run.checkpoints.set(run.step.gang ? 0 : index, running.checkpoint)
+  }
+
+  /** Runs that the worker lists nowhere are over, if the worker had surely heard of them before it answered. */
+  function dropUnlisted(worker: WorkerState, listed: ReadonlySet<string>, sentAt: Milliseconds): void {
+    for (const [key, assignment] of [...worker.assignments]) {
+      if (listed.has(key)) continue
+      const settledAt = assignment.confirmedAt ?? assignment.stopConfirmedAt
+      if (settledAt !== undefined && settledAt < sentAt) drop(assignment)
+    }
+  }
+
+  function takeRunning(worker: WorkerState, report: WorkerReport, sentAt: Milliseconds): void {
+    const listed = new Set<string>()
+    let strangers = 0
+    for (const running of report.running) {
+      const key = assignmentKey(running.task, running.attempt)
+      listed.add(key)
+      const assignment = worker.assignments.get(key)
+      if (assignment) update(assignment, running)
+      else if (!takeStranger(worker, running)) strangers += 1
+    }
+    worker.strangers = strangers
+    dropUnlisted(worker, listed, sentAt)
+  }
+
+  return {
+    async take(worker, report, sentAt) {
+      if (worker.life !== 0 && worker.life !== report.bornAt) forgetLife(worker, report)
+      worker.life = report.bornAt
+      const notes: (Promise<void> | undefined)[] = []
+      let last = worker.handled
+      for (const ended of report.ended) {
+        if (ended.number <= worker.handled) continue
+        notes.push(takeEnd(worker, ended))
+        last = Math.max(last, ended.number)
+      }
+      worker.handled = last
+      takeRunning(worker, report, sentAt)
+      if (!worker.fenced) {
+        worker.fenced = true
+        onFenced(worker)
+      }
+      if (notes.length > 0) {
+        const {life} = worker
+        const all = Promise.all([storing.get(worker), ...notes]).then(() => {
+          if (worker.life === life) worker.noted = Math.max(worker.noted, last)
+        })
+        storing.set(worker, all)
+        onChange()
+      }
+      await storing.get(worker)
+    },
+  }
+}
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -13,11 +13,12 @@
 export interface JsonCaller {
   /** Sends a JSON body and reads a JSON reply. A failure before the request could be sent is `not-run`. */
   readonly call: (
-    method: "GET" | "POST",
+    method: "GET" | "POST" | "DELETE",
     address: string,
     path: string,
     body: unknown,
     timeout: Milliseconds,
+    headers?: Readonly<Record<string, string>>,
   ) => Promise<Result<JsonReply, CallFailed>>
   readonly close: () => Promise<void>
 }
@@ -36,21 +37,21 @@
 }
 
 /** Creates a caller with a pool of connections of its own. */
-export function jsonCaller(): JsonCaller {
+export function jsonCaller(connections = CONNECTIONS_PER_ADDRESS): JsonCaller {
   const agent = new Agent({
     connect: {timeout: CONNECT_TIMEOUT_MS},
-    connections: CONNECTIONS_PER_ADDRESS,
+    connections,
     keepAliveTimeout: KEEP_ALIVE_MS,
     pipelining: 1,
   })
   return {
-    async call(method, address, path, body, timeout) {
+    async call(method, address, path, body, timeout, headers = {}) {
       try {
         const reply = await request(`http://${address}${path}`, {
           method,
           dispatcher: agent,
           signal: AbortSignal.timeout(timeout),
-          headers: body === undefined ? {} : {"content-type": "application/json"},
+          headers: body === undefined ? headers : {...headers, "content-type": "application/json"},
           body: body === undefined ? null : JSON.stringify(body),
         })
         const content = await reply.body.text()
--- /dev/null
+++ b/src/platform/kvstore.ts
@@ -0,0 +1,142 @@
+/** The store port over the platform's key-value service: keys, lists, watches and transactions, values in base64. */
+import {err, ok} from "neverthrow"
+import type {Result} from "neverthrow"
+import type {Milliseconds} from "../core/clock.js"
+import {StoreUnavailable} from "../core/errors.js"
+import type {
+  KeyChange,
+  KeyList,
+  KeyValueStore,
+  StoredItem,
+  Transaction,
+  TransactionResult,
+  WatchAnswer,
+} from "../pipelines/ports.js"
+import type {JsonCaller, JsonReply} from "./http.js"
+import {asFlag, asList, asNumber, asObject, asText} from "./wire.js"
+
+/** Longer than the slowest answer seen of a slow store (0.3 s), shorter than a caller's patience (3 s). */
+const CALL_TIMEOUT_MS: Milliseconds = 1200
+/** What a watch may take beyond its wait before its connection counts as dead. */
+const WATCH_SLACK_MS: Milliseconds = 500
+
+const STATUS_OK = 200
+const STATUS_NOT_FOUND = 404
+const STATUS_GONE = 410
+const STATUS_CONDITION = 412
+const STATUS_TOO_MANY = 429
+const STATUS_UNAVAILABLE = 503
+
+function encode(value: string): string {
+  return Buffer.from(value, "utf8").toString("base64")
+}
+
+function decode(value: unknown): string {
+  return Buffer.from(asText(value), "base64").toString("utf8")
+}
+
+function readItem(value: unknown): StoredItem {
+  const fields = asObject(value)
+  return {key: asText(fields.Key), value: decode(fields.Value), revision: asNumber(fields.Revision)}
+}
+
+function readChange(value: unknown): KeyChange {
+  const fields = asObject(value)
+  const removed = asFlag(fields.Tombstone)
+  return {
+    key: asText(fields.Key),
+    revision: asNumber(fields.Revision),
+    value: removed ? undefined : decode(fields.Value),
+  }
+}
+
+function readConflict(body: unknown): TransactionResult {
+  const items = asList(asObject(body).items)
+    .map(readItem)
+    .filter(item => item.revision > 0)
+  return {type: "conflict", items}
+}
+
+/** A status that none of the calls expects. Only a refusal proves that nothing was done. */
+function unexpected(reply: JsonReply): StoreUnavailable {
+  const refused = reply.status === STATUS_TOO_MANY || reply.status === STATUS_UNAVAILABLE
+  return new StoreUnavailable(`status ${reply.status}`, refused ? "not-run" : "unknown")
+}
+
+/** Creates the port over one address. */
+export function keyValueStore(caller: JsonCaller, address: string): KeyValueStore {
+  async function call(
+    method: "GET" | "POST",
+    path: string,
+    body: unknown,
+    timeout: Milliseconds,
+  ): Promise<Result<JsonReply, StoreUnavailable>> {
+    const reply = await caller.call(method, address, path, body, timeout)
+    return reply.mapErr(failure => new StoreUnavailable(failure.message, failure.certainty))
+  }
+
+  async function page(prefix: string, after: string): Promise<Result<JsonReply, StoreUnavailable>> {
+    const query = new URLSearchParams({Prefix: prefix})
+    if (after !== "") query.set("After", after)
+    const reply = await call("GET", `/api/kv-range?${query.toString()}`, undefined, CALL_TIMEOUT_MS)
+    return reply.andThen(answer => (answer.status === STATUS_OK ? ok(answer) : err(unexpected(answer))))
+  }
+
+  async function list(prefix: string): Promise<Result<KeyList, StoreUnavailable>> {
+    const items: StoredItem[] = []
+    let revision = 0
+    for (let after = "", more = true; more;) {
+      const reply = await page(prefix, after)
+      if (reply.isErr()) return err(reply.error)
+      const fields = asObject(reply.value.body)
+      for (const item of asList(fields.items)) items.push(readItem(item))
+      if (revision === 0) revision = asNumber(fields.AsOf)
+      const last = items.at(-1)?.key ?? ""
+      more = asFlag(fields.HasMore) && last !== after
+      after = last
+    }
+    return ok({items, revision})
+  }
+
+  async function watch(
+    prefix: string,
+    after: number,
+    wait: Milliseconds,
+  ): Promise<Result<WatchAnswer, StoreUnavailable>> {
+    const query = new URLSearchParams({Prefix: prefix, After: String(after), WaitMs: String(wait)})
+    const timeout = wait + CALL_TIMEOUT_MS + WATCH_SLACK_MS
+    const reply = await call("GET", `/api/kv-watch?${query.toString()}`, undefined, timeout)
+    if (reply.isErr()) return err(reply.error)
+    if (reply.value.status === STATUS_GONE) return ok({type: "history-lost"})
+    if (reply.value.status !== STATUS_OK) return err(unexpected(reply.value))
+    const fields = asObject(reply.value.body)
+    const changes = asList(fields.events).map(readChange)
+    return ok({type: "changes", changes, revision: asNumber(fields.AsOf, after)})
+  }
+
+  async function commit(transaction: Transaction): Promise<Result<TransactionResult, StoreUnavailable>> {
+    const body = {
+      Expected: transaction.conditions.map(({key, revision}) => ({Key: key, Revision: revision})),
+      Writes: transaction.writes.map(({key, value}) => ({Key: key, Value: encode(value)})),
+      Remove: transaction.removals,
+    }
+    const reply = await call("POST", "/api/kv-txn", body, CALL_TIMEOUT_MS)
+    if (reply.isErr()) return err(reply.error)
+    if (reply.value.status === STATUS_CONDITION) return ok(readConflict(reply.value.body))
+    if (reply.value.status !== STATUS_OK) return err(unexpected(reply.value))
+    return ok({type: "committed", revision: asNumber(asObject(reply.value.body).Revision)})
+  }
+
+  return {
+    async read(key) {
+      const query = new URLSearchParams({Key: key})
+      const reply = await call("GET", `/api/kv-key?${query.toString()}`, undefined, CALL_TIMEOUT_MS)
+      if (reply.isErr()) return err(reply.error)
+      if (reply.value.status === STATUS_NOT_FOUND) return ok(undefined)
+      return reply.value.status === STATUS_OK ? ok(readItem(reply.value.body)) : err(unexpected(reply.value))
+    },
+    list,
+    watch,
+    commit,
+  }
+}
--- a/test/golden/sessions.test.ts
+++ b/test/golden/sessions.test.ts
@@ -1,5 +1,5 @@
 import test from "ava"
-import type {Logger} from "../../src/controllers/logger.js"
+import type {Logger} from "../../src/core/logger.js"
 import {readyCluster} from "../support/cluster.js"
 import type {Cluster} from "../support/cluster.js"
 
