Takeover from a leader that the store turns away; refusal before a write; parallel commits

Each call to the store is watched: a follower that reaches the store replaces a leader that does not after 0.2 s; a job that is stored without the leader is told to it; while the store fails nothing is written and callers get 503 with Retry-After. Commits overlap once one takes over 25 ms.

--- a/src/cli/daemon.ts
+++ b/src/cli/daemon.ts
@@ -24,7 +24,7 @@
 
 /** Log lines gather up to this size before they are written. */
 const LOG_BUFFER_BYTES = 4096
-const LOG_FLUSH_MS: Milliseconds = 500
+const LOG_FLUSH_MS: Milliseconds = 100
 /** The platform sends new connections until two readiness checks, a second apart, have failed. */
 const READINESS_NOTICE_MS: Milliseconds = 2500
 /** Left of the grace period for the process to end by itself. */
--- a/src/peer/fleet.ts
+++ b/src/peer/fleet.ts
@@ -29,7 +29,8 @@
   readonly leader: Member | undefined
   /** Time since the instance last heard the leader; 0 at the leader. */
   readonly leaderAgeMs: Milliseconds
-  readonly storeAgeMs: Milliseconds
+  /** For how long the store has not answered the instance as it should; 0 while it does. */
+  readonly storeFailingMs: Milliseconds
   readonly configurationVersion: number
   readonly members: readonly Member[]
   readonly queues: readonly QueueLoad[]
@@ -46,7 +47,8 @@
 /** What an instance serves to its peers. */
 export interface FleetHandlers {
   readonly ping: (sender: Member) => PingAnswer
-  readonly storeJob: (record: string) => Promise<StoreAnswer>
+  /** With `alreadyStored` the job is in the store and only has to be planned. */
+  readonly storeJob: (record: string, alreadyStored: boolean) => Promise<StoreAnswer>
   /** Empty for a job that is not known here. */
   readonly jobState: (job: string) => string
   readonly cancelJob: (job: string) => Promise<CancelAnswer>
@@ -62,7 +64,11 @@
 /** The same calls over the network. An error whose certainty is `not-run` never reached the peer. */
 export interface FleetPeer {
   readonly ping: (sender: Member, timeout: Milliseconds) => Promise<Result<PingAnswer, CallFailed>>
-  readonly storeJob: (record: string, timeout: Milliseconds) => Promise<Result<StoreAnswer, CallFailed>>
+  readonly storeJob: (
+    record: string,
+    alreadyStored: boolean,
+    timeout: Milliseconds,
+  ) => Promise<Result<StoreAnswer, CallFailed>>
   readonly jobState: (job: string, timeout: Milliseconds) => Promise<Result<string, CallFailed>>
   readonly cancelJob: (job: string, timeout: Milliseconds) => Promise<Result<CancelAnswer, CallFailed>>
   readonly ask: (
@@ -123,8 +129,11 @@
         const reply = await client.ping({sender}, {timeoutMs})
         return {...reply, leader: reply.leader && reply.leader.name !== "" ? reply.leader : undefined}
       }),
-    storeJob: (record, timeoutMs) =>
-      attempt(async () => STORE_ANSWERS[(await client.storeJob({record}, {timeoutMs})).outcome]),
+    storeJob: (record, alreadyStored, timeoutMs) =>
+      attempt(async () => {
+        const {outcome} = await client.storeJob({record, alreadyStored}, {timeoutMs})
+        return STORE_ANSWERS[outcome]
+      }),
     jobState: (job, timeoutMs) => attempt(async () => (await client.jobState({job}, {timeoutMs})).state),
     cancelJob: (job, timeoutMs) =>
       attempt(async () => {
@@ -172,13 +181,13 @@
           ...answer,
           leader: answer.leader ?? NO_MEMBER,
           leaderAgeMs: Math.round(answer.leaderAgeMs),
-          storeAgeMs: Math.round(answer.storeAgeMs),
+          storeFailingMs: Math.ceil(answer.storeFailingMs),
           members: [...answer.members],
           queues: answer.queues.map(queue => ({...queue, retryAfterMs: Math.round(queue.retryAfterMs)})),
         }
       },
-      async storeJob({record}) {
-        return {outcome: STORE_OUTCOMES[await handlers.storeJob(record)]}
+      async storeJob({record, alreadyStored}) {
+        return {outcome: STORE_OUTCOMES[await handlers.storeJob(record, alreadyStored)]}
       },
       jobState: ({job}) => ({state: handlers.jobState(job)}),
       async cancelJob({job}) {
--- a/src/planner/follow.ts
+++ b/src/planner/follow.ts
@@ -5,9 +5,8 @@
 
 export interface Follower {
   readonly onList: (items: readonly StoredItem[]) => void
+  /** Called after each watch, also when nothing has changed. */
   readonly onChanges: (changes: readonly KeyChange[]) => void
-  /** Called after each answer of the store. */
-  readonly onAnswer: () => void
 }
 
 export interface FollowTiming {
@@ -35,7 +34,6 @@
       const listed = await store.list(prefix)
       if (stopped()) return
       if (listed.isOk()) {
-        follower.onAnswer()
         follower.onList(listed.value.items)
         after = listed.value.revision
       }
@@ -48,13 +46,12 @@
       await sleep(clock, RETRY_MS)
       continue
     }
-    follower.onAnswer()
     if (watched.value.type === "history-lost") {
       after = undefined
       continue
     }
     after = Math.max(after, watched.value.revision)
-    if (watched.value.changes.length > 0) follower.onChanges(watched.value.changes)
+    follower.onChanges(watched.value.changes)
     await sleep(clock, timing.pause)
   }
 }
--- a/src/planner/instance.ts
+++ b/src/planner/instance.ts
@@ -15,6 +15,7 @@
 import type {Leadership} from "./leadership.js"
 import {createPlanner} from "./planner.js"
 import type {Planner} from "./planner.js"
+import {watchStoreHealth} from "./storehealth.js"
 
 export interface InstancePorts {
   readonly clock: Clock
@@ -59,16 +60,18 @@
 const LEADERLESS_MS: Milliseconds = 3000
 
 export function createFleetInstance(identity: InstanceIdentity, ports: InstancePorts): FleetInstance {
-  const {clock, log, store, reader, clients, advice} = ports
+  const {clock, log, reader, clients, advice} = ports
+  const health = watchStoreHealth(ports.store, clock)
+  const {store} = health
   let planner: Planner | undefined
   let loads: readonly QueueLoad[] = []
   let draining = false
   let stopped = false
-  let storeAnswerAt = clock.now()
 
   const configuration = createConfigurationHolder(reader, log, () => planner?.planSoon())
   const leadership: Leadership = createLeadership({
     ...ports,
+    store,
     self: identity.member,
     life: identity.life,
     seeds: identity.seeds,
@@ -76,7 +79,7 @@
     onLeaderAnswer(answer) {
       loads = answer.queues
     },
-    confirmedAt: () => planner?.confirmedAt(),
+    isStoreFailing: () => health.failingFor() > 0,
   })
 
   async function lead(term: number): Promise<void> {
@@ -86,6 +89,8 @@
       {leaseLife: Math.min(LEASE_LIFE_MS, identity.longestLease)},
       {
         ...ports,
+        store,
+        isStoreFailing: () => health.failingFor() > 0,
         askers,
         configuration: configuration.current,
         onSuperseded() {
@@ -128,10 +133,6 @@
     return leadership.members().map(askerOf)
   }
 
-  function storeAge(): Milliseconds {
-    return clock.now() - Math.max(storeAnswerAt, planner?.confirmedAt() ?? 0)
-  }
-
   function answerPing(sender: Member): PingAnswer {
     leadership.noteMember(sender)
     const view = leadership.leader()
@@ -140,7 +141,7 @@
       term: view?.term ?? 0,
       leader: view?.member,
       leaderAgeMs: Math.min(leadership.leaderAge(), 1e6),
-      storeAgeMs: storeAge(),
+      storeFailingMs: Math.min(health.failingFor(), 1e6),
       configurationVersion: configuration.current()?.version ?? 0,
       members: leadership.members(),
       queues: planner?.loads() ?? loads,
@@ -149,7 +150,7 @@
 
   const handlers: FleetHandlers = {
     ping: answerPing,
-    storeJob: async record => planner?.storeJob(record) ?? "not-leader",
+    storeJob: async (record, alreadyStored) => planner?.storeJob(record, alreadyStored) ?? "not-leader",
     jobState: job => planner?.stateOf(job) ?? "",
     cancelJob: async job => planner?.cancel(job) ?? "not-stored",
     ask,
@@ -160,6 +161,7 @@
     clock,
     log,
     store,
+    isStoreFailing: () => health.failingFor() > 0,
     clients,
     leadership,
     planner: () => planner,
@@ -175,9 +177,6 @@
       {
         onList: configuration.onList,
         onChanges: configuration.onChanges,
-        onAnswer() {
-          storeAnswerAt = clock.now()
-        },
       },
       () => stopped,
     )
--- a/src/planner/intake.ts
+++ b/src/planner/intake.ts
@@ -4,7 +4,7 @@
  * process.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
-import {sleep} from "../core/clock.js"
+import {withTimeout} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
 import type {CancelAnswer, FleetClients, QueueLoad, StoreAnswer} from "../peer/fleet.js"
 import type {PipelineJob} from "../pipelines/model.js"
@@ -38,6 +38,8 @@
   readonly clock: Clock
   readonly log: Logger
   readonly store: KeyValueStore
+  /** The store does not answer this instance as it should. */
+  readonly isStoreFailing: () => boolean
   readonly clients: FleetClients
   readonly leadership: Leadership
   readonly planner: () => Planner | undefined
@@ -46,14 +48,17 @@
 
 /** A leader that has not answered for this span is passed over. */
 const LEADER_SILENT_MS: Milliseconds = 1000
-const STATE_TIMEOUT_MS: Milliseconds = 600
-const CANCEL_TIMEOUT_MS: Milliseconds = 1500
-/** Left of the caller's patience for going to the store without the leader. */
-const DIRECT_RESERVE_MS: Milliseconds = 900
+const STATE_TIMEOUT_MS: Milliseconds = 500
+const CANCEL_TIMEOUT_MS: Milliseconds = 1000
+/** An instance goes to the store by itself when the leader has not answered within this span. */
+const HEDGE_MS: Milliseconds = 700
+/** Left of the caller's patience for the way back of the answer. */
+const ANSWER_RESERVE_MS: Milliseconds = 200
 const LEAST_TIMEOUT_MS: Milliseconds = 200
-/** Pause before a second direct try. */
-const RETRY_MS: Milliseconds = 150
-const RETRY_AFTER_MS: Milliseconds = 1000
+/** When to come back after a refusal because of the store, whose outages last some seconds. */
+const RETRY_AFTER_MS: Milliseconds = 2000
+/** How long the leader may take to confirm that it plans a job that is stored. */
+const NOTICE_TIMEOUT_MS: Milliseconds = 1000
 
 export function createIntake(ports: IntakePorts): Intake {
   const {clock, log, store, clients, leadership, planner, loads} = ports
@@ -67,47 +72,61 @@
   async function storeAtLeader(job: PipelineJob, patience: Milliseconds): Promise<StoreAnswer> {
     const own = planner()
     const record = formatJob(job)
-    if (own) return own.storeJob(record)
+    if (own) return own.storeJob(record, false)
     const address = leaderAddress()
     if (address === undefined) return "not-leader"
-    const timeout = Math.max(LEAST_TIMEOUT_MS, patience - DIRECT_RESERVE_MS)
-    const answer = await clients.reach(address).storeJob(record, timeout)
+    const timeout = Math.max(LEAST_TIMEOUT_MS, patience - ANSWER_RESERVE_MS)
+    const answer = await clients.reach(address).storeJob(record, false, timeout)
     if (answer.isOk()) return answer.value
+    log.info(
+      {event: "leader-call-failed", job: job.id, reason: answer.error.message},
+      "the leader took no job",
+    )
     return answer.error.certainty === "not-run" ? "not-stored" : "unknown"
   }
 
-  /** Writes the job without the leader, which finds it in the store. */
+  /** Tells the leader of a job that is in the store, so that it need not find it there. */
+  function notifyLeader(record: string): void {
+    const own = planner()
+    const address = leaderAddress()
+    if (own) void own.storeJob(record, true)
+    else if (address !== undefined) void clients.reach(address).storeJob(record, true, NOTICE_TIMEOUT_MS)
+  }
+
+  /** Writes the job without the leader. */
   async function storeDirectly(job: PipelineJob): Promise<StoreAnswer> {
+    if (ports.isStoreFailing()) return "not-stored"
+    const record = formatJob(job)
     const result = await store.commit({
       conditions: [
         {key: jobKey(job.id), revision: 0},
         {key: progressKey(job.id), revision: 0},
       ],
-      writes: [{key: jobKey(job.id), value: formatJob(job)}],
+      writes: [{key: jobKey(job.id), value: record}],
       removals: [],
     })
-    if (result.isOk()) return "stored"
-    return result.error.certainty === "not-run" ? "not-stored" : "unknown"
+    if (result.isErr()) return result.error.certainty === "not-run" ? "not-stored" : "unknown"
+    log.info({event: "stored-directly", job: job.id}, "a job was stored without the leader")
+    if (result.value.type === "committed") notifyLeader(record)
+    return "stored"
+  }
+
+  /** Waits for the leader, and goes to the store beside it when the leader takes long or has not stored the job. */
+  async function storeSomehow(job: PipelineJob, patience: Milliseconds): Promise<StoreAnswer> {
+    const atLeader = storeAtLeader(job, patience)
+    const first = await withTimeout(clock, atLeader, HEDGE_MS, undefined)
+    if (first === "stored") return first
+    const direct = await storeDirectly(job)
+    if (direct === "stored") return direct
+    const last = first ?? (await atLeader)
+    if (last === "stored") return last
+    return last === "unknown" || direct === "unknown" ? "unknown" : "not-stored"
   }
 
   async function submit(job: PipelineJob, patience: Milliseconds): Promise<SubmitAnswer> {
-    const deadline = clock.now() + patience
-    const first = await storeAtLeader(job, patience)
-    let uncertain = first === "unknown"
-    if (first === "stored") return {type: "stored"}
-    for (let attempt = 0; attempt < 2 && clock.now() + LEAST_TIMEOUT_MS < deadline; attempt += 1) {
-      const direct = await storeDirectly(job)
-      if (direct === "stored") {
-        log.info(
-          {event: "stored-directly", job: job.id, leader: first},
-          "a job was stored without the leader",
-        )
-        return {type: "stored"}
-      }
-      uncertain ||= direct === "unknown"
-      await sleep(clock, RETRY_MS)
-    }
-    if (uncertain) return {type: "unknown"}
+    const outcome = await storeSomehow(job, patience)
+    if (outcome === "stored") return {type: "stored"}
+    if (outcome === "unknown") return {type: "unknown"}
     return {type: "refused", retryAfter: RETRY_AFTER_MS}
   }
 
--- a/src/planner/leadership.ts
+++ b/src/planner/leadership.ts
@@ -30,8 +30,8 @@
   readonly onLead: (term: number) => void
   /** A ping was answered by the leader. */
   readonly onLeaderAnswer: (answer: PingAnswer) => void
-  /** When the store last answered this instance while it leads; undefined while it does not lead. */
-  readonly confirmedAt: () => Milliseconds | undefined
+  /** The store does not answer this instance as it should. */
+  readonly isStoreFailing: () => boolean
 }
 
 export interface Leadership {
@@ -51,12 +51,12 @@
   readonly stop: () => void
 }
 
-const PING_INTERVAL_MS: Milliseconds = 250
-const PING_TIMEOUT_MS: Milliseconds = 450
-/** Pings in a row without an answer after which the leader counts as silent. */
-const SILENT_PINGS = 2
-/** A leader that has had no answer of the store for this span is replaced by a follower that reaches the store. */
-const CUT_OFF_MS: Milliseconds = 1500
+const PING_INTERVAL_MS: Milliseconds = 200
+const PING_TIMEOUT_MS: Milliseconds = 350
+/** The second ping, sent at once after one without an answer. */
+const SECOND_PING_TIMEOUT_MS: Milliseconds = 250
+/** A leader that the store has not answered for this span is replaced by a follower that reaches the store. */
+const CUT_OFF_MS: Milliseconds = 200
 /** Another follower that heard the leader within this span speaks for it. */
 const HEARD_MS: Milliseconds = 700
 /** An instance that reaches no other one leaves the lead alone for this long. */
@@ -72,7 +72,6 @@
   let known: LeaderView | undefined
   let leading = false
   let heardAt = -Infinity
-  let silentPings = 0
   let stopped = false
   let draining = false
   let isolatedSince: Milliseconds | undefined
@@ -83,7 +82,6 @@
     if (known && term <= known.term) return
     known = {term, member}
     leading = false
-    silentPings = 0
     heardAt = clock.now()
     log.info({event: "leader", term, leader: member.name}, "an instance leads")
   }
@@ -137,7 +135,7 @@
     const others = knownAddresses().filter(address => address !== known?.member.address)
     if (others.length === 0) return true
     const answers = await Promise.all(
-      others.map(address => clients.reach(address).ping(self, PING_TIMEOUT_MS)),
+      others.map(address => clients.reach(address).ping(self, SECOND_PING_TIMEOUT_MS)),
     )
     const reached = answers.filter(answer => answer.isOk()).map(answer => answer.value)
     for (const answer of reached) {
@@ -181,11 +179,17 @@
   }
 
   async function pingLeader(view: LeaderView): Promise<void> {
-    const answer = await clients.reach(view.member.address).ping(self, PING_TIMEOUT_MS)
+    const peer = clients.reach(view.member.address)
+    let answer = await peer.ping(self, PING_TIMEOUT_MS)
+    if (answer.isErr() && answer.error.certainty === "unknown")
+      answer = await peer.ping(self, SECOND_PING_TIMEOUT_MS)
     if (stopped || known !== view) return
     if (answer.isErr()) {
-      silentPings += answer.error.certainty === "not-run" ? SILENT_PINGS : 1
-      if (silentPings >= SILENT_PINGS) await resolveLeader(true)
+      log.info(
+        {event: "leader-silent", term: view.term, reason: answer.error.message},
+        "the leader does not answer",
+      )
+      await resolveLeader(true)
       return
     }
     const reply = answer.value
@@ -194,11 +198,11 @@
       else await resolveLeader(true)
       return
     }
-    silentPings = 0
     heardAt = clock.now()
     announced = reply.members
     ports.onLeaderAnswer(reply)
-    if (reply.term === view.term && reply.storeAgeMs > CUT_OFF_MS) await replaceCutOff(view.term)
+    if (reply.term === view.term && reply.storeFailingMs > CUT_OFF_MS && !ports.isStoreFailing())
+      await replaceCutOff(view.term)
   }
 
   /** The leader has no answer of the store: this instance takes over if it has one. */
--- a/src/planner/ledger.ts
+++ b/src/planner/ledger.ts
@@ -5,12 +5,11 @@
  * out late never undoes a newer one.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
-import {sleep} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
 import type {PipelineJob} from "../pipelines/model.js"
 import type {Progress} from "../pipelines/progress.js"
 import type {KeyCondition, KeyValueStore, StoredItem, Transaction} from "../pipelines/ports.js"
-import {formatJob, formatProgress, jobKey, LEADER_KEY, progressKey, ROSTER_KEY} from "./records.js"
+import {cancelKey, formatJob, formatProgress, jobKey, LEADER_KEY, progressKey, ROSTER_KEY} from "./records.js"
 
 /** The most entries that the store takes in one transaction. */
 const TRANSACTION_ENTRIES = 32
@@ -21,12 +20,17 @@
 /** Condition, write, and the removal of the job's text once it has ended. */
 const PROGRESS_ENTRIES = 3
 const ROSTER_ENTRIES = 2
+/** Removal of the progress and of a cancel that was left in the store. */
+const FORGET_ENTRIES = 2
 /** Pause after a failed commit, so that a store that is down is not pressed. */
 const RETRY_MS: Milliseconds = 120
 /** A submitter is told that a job is not stored when every try within this span was refused. */
 const SUBMIT_REFUSED_MS: Milliseconds = 400
-/** A submitter is told that the outcome is unknown after this span, well before its deadline of seconds. */
-const SUBMIT_UNKNOWN_MS: Milliseconds = 2200
+/** A submitter is told that the outcome is unknown after this span, just before its own deadline of seconds. */
+const SUBMIT_UNKNOWN_MS: Milliseconds = 2600
+/** A further transaction is begun beside one that takes longer than this; a quick store gets larger ones instead. */
+const PARALLEL_AFTER_MS: Milliseconds = 25
+const MOST_PARALLEL = 4
 
 /** `exists`: the job was there already, from this writer or from another one. */
 export type StoredOutcome = "stored" | "exists" | "not-stored" | "unknown"
@@ -48,6 +52,17 @@
   readonly close: () => void
 }
 
+export interface LedgerPorts {
+  readonly store: KeyValueStore
+  readonly term: number
+  readonly clock: Clock
+  readonly log: Logger
+  /** The store does not answer as it should: new jobs are refused before anything is written. */
+  readonly isStoreFailing: () => boolean
+  /** Called once, when the store shows a later leader. */
+  readonly onSuperseded: () => void
+}
+
 interface NewJob {
   readonly job: PipelineJob
   readonly since: Milliseconds
@@ -70,14 +85,9 @@
   readonly forgotten: readonly string[]
 }
 
-/** Creates the writer for one term. `onSuperseded` is called once, when the store shows a later leader. */
-export function createLedger(
-  store: KeyValueStore,
-  term: number,
-  clock: Clock,
-  log: Logger,
-  onSuperseded: () => void,
-): Ledger {
+/** Creates the writer for one term. */
+export function createLedger(ports: LedgerPorts): Ledger {
+  const {store, term, clock, log, isStoreFailing, onSuperseded} = ports
   const newJobs = new Map<string, NewJob>()
   const notes = new Map<string, Note>()
   const revisions = new Map<string, number>()
@@ -85,15 +95,16 @@
   let roster: {text: string; version: number; resolve: (() => void)[]} | undefined
   let rosterRevision = 0
   let versions = 0
-  let running = false
+  /** Jobs whose keys are in a transaction that is not settled. */
+  const busy = new Set<string>()
+  let rosterBusy = false
+  let inHand = 0
+  let lastBegun = 0
+  let retryAt = 0
   let closed = false
   let confirmed = clock.now()
   let commits = 0
 
-  function hasWork(): boolean {
-    return newJobs.size > 0 || notes.size > 0 || forgotten.size > 0 || roster !== undefined
-  }
-
   function takeBatch(): Batch {
     const conditions: KeyCondition[] = [{key: LEADER_KEY, revision: term}]
     const writes: {key: string; value: string}[] = []
@@ -102,7 +113,7 @@
     const takenNotes: {job: string; version: number; ended: boolean}[] = []
     const takenForgotten: string[] = []
     let space = TRANSACTION_ENTRIES - FIXED_ENTRIES
-    if (roster) {
+    if (roster && !rosterBusy) {
       conditions.push({key: ROSTER_KEY, revision: rosterRevision})
       writes.push({key: ROSTER_KEY, value: roster.text})
       space -= ROSTER_ENTRIES
@@ -110,6 +121,7 @@
     for (const entry of newJobs.values()) {
       if (space < NEW_JOB_ENTRIES) break
       const {job} = entry
+      if (busy.has(job.id)) continue
       conditions.push({key: jobKey(job.id), revision: 0}, {key: progressKey(job.id), revision: 0})
       writes.push({key: jobKey(job.id), value: formatJob(job)})
       takenJobs.push(entry)
@@ -117,6 +129,7 @@
     }
     for (const [job, note] of notes) {
       if (space < PROGRESS_ENTRIES) break
+      if (busy.has(job)) continue
       const ended = note.progress.outcome !== undefined
       conditions.push({key: progressKey(job), revision: revisions.get(job) ?? 0})
       writes.push({
@@ -128,16 +141,17 @@
       space -= PROGRESS_ENTRIES
     }
     for (const job of forgotten) {
-      if (space < 1) break
-      removals.push(progressKey(job))
+      if (space < FORGET_ENTRIES) break
+      if (busy.has(job)) continue
+      removals.push(progressKey(job), cancelKey(job))
       takenForgotten.push(job)
-      space -= 1
+      space -= FORGET_ENTRIES
     }
     return {
       transaction: {conditions, writes, removals},
       newJobs: takenJobs,
       notes: takenNotes,
-      roster: roster?.version,
+      roster: rosterBusy ? undefined : roster?.version,
       forgotten: takenForgotten,
     }
   }
@@ -196,28 +210,57 @@
   }
 
   function failed(batch: Batch, certainty: "not-run" | "unknown"): void {
-    for (const entry of batch.newJobs) {
-      if (certainty === "unknown") entry.maybeWritten = true
+    for (const entry of batch.newJobs) if (certainty === "unknown") entry.maybeWritten = true
+    refuseWaiting()
+    retryAt = clock.now() + RETRY_MS
+  }
+
+  /** Gives up jobs that the store does not take: refused if surely nothing was written, unknown otherwise. */
+  function refuseWaiting(): void {
+    for (const entry of [...newJobs.values()]) {
       const age = clock.now() - entry.since
-      if (!entry.maybeWritten && age > SUBMIT_REFUSED_MS) settleJob(entry, "not-stored")
+      if (!entry.maybeWritten && !busy.has(entry.job.id) && age > SUBMIT_REFUSED_MS)
+        settleJob(entry, "not-stored")
       else if (age > SUBMIT_UNKNOWN_MS) settleJob(entry, "unknown")
     }
   }
 
-  async function run(): Promise<void> {
-    if (running) return
-    running = true
-    while (!closed && hasWork()) {
-      const batch = takeBatch()
-      const result = await store.commit(batch.transaction)
-      if (result.isErr()) {
-        failed(batch, result.error.certainty)
-        log.debug({event: "commit-failed", reason: result.error.message}, "the store took no commit")
-        await sleep(clock, RETRY_MS)
-      } else if (result.value.type === "committed") committed(batch, result.value.revision)
-      else conflicted(batch, result.value.items)
-    }
-    running = false
+  function isEmpty(batch: Batch): boolean {
+    return batch.transaction.writes.length === 0 && batch.transaction.removals.length === 0
+  }
+
+  function keysOf(batch: Batch): readonly string[] {
+    return [...batch.newJobs.map(({job}) => job.id), ...batch.notes.map(({job}) => job), ...batch.forgotten]
+  }
+
+  async function commit(batch: Batch): Promise<void> {
+    inHand += 1
+    lastBegun = clock.now()
+    const keys = keysOf(batch)
+    for (const key of keys) busy.add(key)
+    if (batch.roster !== undefined) rosterBusy = true
+    clock.after(PARALLEL_AFTER_MS, advance)
+    const result = await store.commit(batch.transaction)
+    inHand -= 1
+    for (const key of keys) busy.delete(key)
+    if (batch.roster !== undefined) rosterBusy = false
+    if (closed) return
+    if (result.isErr()) {
+      failed(batch, result.error.certainty)
+      log.debug({event: "commit-failed", reason: result.error.message}, "the store took no commit")
+      clock.after(RETRY_MS, advance)
+    } else if (result.value.type === "committed") committed(batch, result.value.revision)
+    else conflicted(batch, result.value.items)
+    advance()
+  }
+
+  /** Begins the next transaction, unless enough are in hand. */
+  function advance(): void {
+    const now = clock.now()
+    if (closed || now < retryAt || inHand >= MOST_PARALLEL) return
+    if (inHand > 0 && now - lastBegun < PARALLEL_AFTER_MS) return
+    const batch = takeBatch()
+    if (!isEmpty(batch)) void commit(batch)
   }
 
   return {
@@ -225,8 +268,9 @@
       return new Promise(resolve => {
         const known = newJobs.get(job.id)
         if (known) known.settle.push(resolve)
+        else if (isStoreFailing()) resolve("not-stored")
         else newJobs.set(job.id, {job, since: clock.now(), maybeWritten: false, settle: [resolve]})
-        void run()
+        advance()
       })
     },
     note(job, progress) {
@@ -239,7 +283,7 @@
           known.version = version
           known.waiting.push({version, resolve})
         } else notes.set(job, {progress, version, waiting: [{version, resolve}]})
-        void run()
+        advance()
       })
     },
     learn: (job, revision) => void revisions.set(job, revision),
@@ -247,7 +291,7 @@
       return new Promise(resolve => {
         versions += 1
         roster = {text, version: versions, resolve: [...(roster?.resolve ?? []), resolve]}
-        void run()
+        advance()
       })
     },
     learnRoster(revision) {
@@ -255,7 +299,7 @@
     },
     forget(job) {
       forgotten.add(job)
-      void run()
+      advance()
     },
     confirmedAt: () => confirmed,
     commits: () => commits,
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -23,7 +23,7 @@
 import type {ShownState} from "./jobtable.js"
 import {createLedger} from "./ledger.js"
 import {isUsable, planPass} from "./planningpass.js"
-import {meaningOf, parseJob, parseProgress, parseRoster, PREFIX, ROSTER_KEY, WORK_PREFIX} from "./records.js"
+import {LEADER_KEY, meaningOf, parseJob, parseProgress, parseRoster, PREFIX, ROSTER_KEY} from "./records.js"
 import {createReportReader} from "./reports.js"
 import type {ActiveJob, Assignment, StepRun, WorkerState} from "./state.js"
 import {assign, release} from "./state.js"
@@ -45,6 +45,7 @@
   /** Instances that can ask for advice, this one included. */
   readonly askers: () => readonly Asker[]
   readonly configuration: () => FleetConfiguration | undefined
+  readonly isStoreFailing: () => boolean
   readonly onSuperseded: () => void
 }
 
@@ -52,11 +53,11 @@
   readonly term: number
   /** Reads jobs and workers from the store and begins. False when the store did not answer. */
   readonly load: () => Promise<boolean>
-  readonly storeJob: (record: string) => Promise<StoreAnswer>
+  /** With `alreadyStored` the job is in the store and only has to be planned. */
+  readonly storeJob: (record: string, alreadyStored: boolean) => Promise<StoreAnswer>
   readonly stateOf: (job: string) => ShownState | undefined
   readonly cancel: (job: string) => Promise<CancelAnswer>
   readonly loads: () => readonly QueueLoad[]
-  readonly confirmedAt: () => Milliseconds
   readonly planSoon: () => void
   readonly counts: () => Readonly<Record<string, number>>
   readonly close: () => void
@@ -88,7 +89,8 @@
   let loaded = false
   let starts = 0
   let passes = 0
-  let storeAnswerAt = startedAt
+  /** When the store last showed that this leader still leads. */
+  let confirmedAt = startedAt
   const shares = new Map<string, number>()
   /** Workers of which an earlier leader's runs are not known yet. */
   const unfenced = new Set<WorkerState>()
@@ -98,7 +100,14 @@
     close()
     ports.onSuperseded()
   }
-  const ledger = createLedger(store, term, clock, log, superseded)
+  const ledger = createLedger({
+    store,
+    term,
+    clock,
+    log,
+    isStoreFailing: ports.isStoreFailing,
+    onSuperseded: superseded,
+  })
   const adviser = createAdviser(clock, log, askers)
   const jobs = createJobTable(clock, log, ledger, findQueue, stopAll)
 
@@ -106,10 +115,6 @@
     return configuration()?.queues.find(queue => queue.name === name)
   }
 
-  function confirmedAt(): Milliseconds {
-    return Math.max(ledger.confirmedAt(), storeAnswerAt)
-  }
-
   const events: WorkerLinkEvents = {
     async onReport(worker, report, sentAt) {
       const stored = reports.take(worker, report, sentAt)
@@ -142,7 +147,8 @@
         log,
         calls: ports.workers,
         leaseLife: limits.leaseLife,
-        mayAct: () => !closed && clock.now() - confirmedAt() < UNCONFIRMED_LIMIT_MS,
+        mayAct: () =>
+          !closed && clock.now() - Math.max(confirmedAt, ledger.confirmedAt()) < UNCONFIRMED_LIMIT_MS,
         events,
       }),
   })
@@ -363,9 +369,11 @@
     return active.progress.outcome === "cancelled" ? "cancelled" : "ended"
   }
 
-  /** Takes in jobs and cancels that other instances have stored by themselves. */
-  function takeWork(items: readonly {readonly key: string; readonly value: string | undefined}[]): void {
-    for (const {key, value} of items) {
+  /** Takes in jobs and cancels that other instances have stored by themselves, and whether another one leads. */
+  function takeWork(items: readonly Pick<KeyChange, "key" | "revision" | "value">[]): void {
+    confirmedAt = clock.now()
+    for (const {key, revision, value} of items) {
+      if (key === LEADER_KEY && revision > term) superseded()
       const meaning = meaningOf(key)
       if (!meaning || value === undefined) continue
       if (meaning.type === "job") {
@@ -403,29 +411,25 @@
   async function load(): Promise<boolean> {
     const [work, listed] = await Promise.all([store.list(PREFIX), store.list(reader.workerPrefix)])
     if (work.isErr() || listed.isErr() || closed) return false
-    storeAnswerAt = clock.now()
     loadWork(work.value.items)
     pool.onList(listed.value.items)
     for (const worker of pool.workers.values()) if (!worker.fenced) unfenced.add(worker)
     loaded = true
     const stopped = (): boolean => closed
-    const onAnswer = (): void => {
-      storeAnswerAt = clock.now()
-    }
     void followPrefix(
       store,
       reader.workerPrefix,
       {wait: WORKER_POLL_MS, pause: WORKER_POLL_MS},
       clock,
-      {onList: pool.onList, onChanges: pool.onChanges, onAnswer},
+      {onList: pool.onList, onChanges: pool.onChanges},
       stopped,
     )
     void followPrefix(
       store,
-      WORK_PREFIX,
+      PREFIX,
       {wait: WORK_POLL_MS, pause: WORK_POLL_MS},
       clock,
-      {onList: takeWork, onChanges: (changes: readonly KeyChange[]) => takeWork(changes), onAnswer},
+      {onList: takeWork, onChanges: (changes: readonly KeyChange[]) => takeWork(changes)},
       stopped,
     )
     sweep()
@@ -453,9 +457,13 @@
   return {
     term,
     load,
-    async storeJob(record) {
+    async storeJob(record, alreadyStored) {
       const job = parseJob(record)
       if (!job) return "not-stored"
+      if (alreadyStored) {
+        if (!closed) addJob(job)
+        return "stored"
+      }
       if (jobs.stateOf(job.id) !== undefined) return "stored"
       const outcome = await ledger.storeJob(job)
       if (outcome === "stored" && !closed) addJob(job)
@@ -465,7 +473,6 @@
     stateOf: job => jobs.stateOf(job),
     cancel,
     loads,
-    confirmedAt,
     planSoon,
     counts: () => ({
       active: jobs.active.size,
--- a/src/planner/workerlink.ts
+++ b/src/planner/workerlink.ts
@@ -11,7 +11,7 @@
 import {clockBounds} from "./state.js"
 
 /** How long a worker may hold a report while nothing ends; also the usual interval of lease renewals. */
-const REPORT_WAIT_MS: Milliseconds = 1200
+const REPORT_WAIT_MS: Milliseconds = 900
 /** The interval where tasks that serve share the worker with tasks that fill, whose pace has to follow. */
 const SHARED_REPORT_WAIT_MS: Milliseconds = 400
 /** Pause after a report that failed. */
@@ -101,6 +101,8 @@
   }
 
   const isOpen = (): boolean => !worker.closed
+  /** The last report failed. */
+  let doubted = false
 
   async function loop(): Promise<void> {
     while (isOpen()) {
@@ -111,13 +113,19 @@
         term,
         noted: worker.noted,
         deadline,
-        wait: worker.reachable && worker.fenced ? wait : 0,
+        wait: worker.reachable && worker.fenced && !doubted ? wait : 0,
       })
       if (!isOpen()) return
       if (answer.isOk()) {
+        doubted = false
         if (!(await handle(answer.value, sentAt))) return
         continue
       }
+      // One lost answer says little: the next report, without a wait, shows whether the worker is there.
+      if (answer.error.certainty === "unknown" && !doubted) {
+        doubted = true
+        continue
+      }
       if (worker.reachable) {
         const {id} = worker.listing
         log.warn({event: "worker-unreachable", worker: id, reason: answer.error.message}, "a report failed")
--- a/src/platform/workercalls.ts
+++ b/src/platform/workercalls.ts
@@ -19,7 +19,7 @@
 /** A worker answers an order in a few milliseconds; beyond this its fate is settled by asking again. */
 const ORDER_TIMEOUT_MS: Milliseconds = 500
 /** What a report may take beyond the wait that was asked for. */
-const REPORT_SLACK_MS: Milliseconds = 600
+const REPORT_SLACK_MS: Milliseconds = 350
 
 const STATUS_OK = 200
 const STATUS_CONFLICT = 409
