Leases end with silence; room kept for gangs and for waves of urgent work; wider calls for advice

Cause: tasks on a worker that fell silent waited 6 s, since every unanswered report moved the end of the lease; a call for advice named 3.8 workers on average, so pattern packs asked 35 times a step and the instances were busy to 80%; a wave of fold checks found the workers full of patient work (0.3 to 1 s from first to last start), and gangs waited 9 s at the 90th percentile behind single tasks.

A lease is extended only by a worker that answers, and lasts 3 s; a call names every worker in question while the names cost under 0.6 of its fixed time; the peak of urgent use of the last 10 s is kept free from patient work; a gang that waits reserves workers that are known to be allowed.

--- a/src/pipelines/asking.ts
+++ b/src/pipelines/asking.ts
@@ -1,10 +1,11 @@
 /**
  * Chooses which workers to name in a call for advice. A call costs a fixed time and a little for each worker, and
- * one instance makes one call at a time; so a call names enough workers that the answer very likely has room, and
- * no more. Answers the load of many short steps at once.
+ * one instance makes one call at a time. What is allowed never changes, but tickets lapse; so a call that is made at
+ * all names every worker that may come into question, as long as the names cost less than the call. Answers the
+ * load of many steps at a crest, where a call for each freed worker kept the instances busy.
  */
-import {fits, subtract} from "../core/resources.js"
 import type {Resources} from "../core/resources.js"
+import {fits} from "../core/resources.js"
 import type {AdviceTerms, Step} from "./model.js"
 import type {Milliseconds} from "../core/clock.js"
 
@@ -19,46 +20,40 @@
 
 /** The most workers that a call may name, as the platform states. */
 const MOST_WORKERS = 100
-/** Room to ask for, against what is needed: a refusal costs another whole call. */
-const SAFETY_FACTOR = 2
-/** Tasks counted for one worker; beyond it more workers are named, for the sake of spreading. */
-const MOST_TASKS_COUNTED = 4
+/** The names may take this share of the call's fixed time. */
+const NAMES_SHARE = 0.6
+/** So many workers are named in any case. */
+const LEAST_WORKERS = 8
 
-function roomFor(step: Step, option: AskOption): number {
+function hasRoom(step: Step, option: AskOption): boolean {
   const demand = step.fills ? {...step.demand, processors: 0} : step.demand
-  let free = option.free
-  let count = 0
-  while (count < MOST_TASKS_COUNTED && fits(demand, free)) {
-    if (step.perWorker > 0 && option.held + count >= step.perWorker) break
-    free = subtract(free, demand)
-    count += 1
-  }
-  return count
+  return fits(demand, option.free) && (step.perWorker === 0 || option.held < step.perWorker)
+}
+
+function mostNames(terms: AdviceTerms): number {
+  const affordable = terms.perWorker > 0 ? (terms.base * NAMES_SHARE) / terms.perWorker : MOST_WORKERS
+  return Math.min(MOST_WORKERS, Math.max(LEAST_WORKERS, Math.floor(affordable)))
 }
 
 /**
- * Names workers until the expected room, given the share that is usually allowed, is twice what is wanted.
- * Workers without room come last and only when `ahead` is set.
+ * Names workers: those with room first, and among them those known to be allowed. Without any room a call is made
+ * only when `ahead` is set.
  */
 export function chooseWorkersToAsk(
   step: Step,
-  wanted: number,
   options: readonly AskOption[],
-  allowedShare: number,
+  terms: AdviceTerms,
   ahead: boolean,
 ): readonly string[] {
-  const rated = options
-    .map(option => ({option, room: roomFor(step, option)}))
-    .filter(({room}) => ahead || room > 0)
-    .sort((one, other) => Number(other.option.allowed) - Number(one.option.allowed) || other.room - one.room)
-  const chosen: string[] = []
-  let expected = 0
-  for (const {option, room} of rated) {
-    if (chosen.length >= MOST_WORKERS || expected >= wanted * SAFETY_FACTOR) break
-    chosen.push(option.id)
-    expected += room * (option.allowed ? SAFETY_FACTOR : allowedShare)
-  }
-  return chosen
+  const rated = options.map(option => ({option, room: hasRoom(step, option)}))
+  if (!ahead && !rated.some(({room}) => room)) return []
+  return rated
+    .sort(
+      (one, other) =>
+        Number(other.room) - Number(one.room) || Number(other.option.allowed) - Number(one.option.allowed),
+    )
+    .slice(0, mostNames(terms))
+    .map(({option}) => option.id)
 }
 
 /** How long the advice service works on a call, in whole milliseconds. */
--- a/src/planner/instance.ts
+++ b/src/planner/instance.ts
@@ -52,7 +52,7 @@
  * Leases of running tasks: long enough that work outlasts a change of leader, short enough that a dead worker's
  * tasks start again soon.
  */
-const LEASE_LIFE_MS: Milliseconds = 4500
+const LEASE_LIFE_MS: Milliseconds = 3000
 /** The longest that a watch of the configuration waits, so that a dead connection is noticed in time. */
 const CONFIGURATION_WAIT_MS: Milliseconds = 1000
 const LOAD_RETRY_MS: Milliseconds = 100
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -22,7 +22,7 @@
 import {createJobTable, FRESH} from "./jobtable.js"
 import type {ShownState} from "./jobtable.js"
 import {createLedger} from "./ledger.js"
-import {isUsable, planPass} from "./planningpass.js"
+import {createPlanningPass, isUsable} from "./planningpass.js"
 import {LEADER_KEY, meaningOf, parseJob, parseProgress, parseRoster, PREFIX, ROSTER_KEY} from "./records.js"
 import {createReportReader} from "./reports.js"
 import type {ActiveJob, Assignment, StepRun, WorkerState} from "./state.js"
@@ -76,11 +76,6 @@
 const AVOID_MS: Milliseconds = 400
 /** A step is not tried again before this span after a refusal that says nothing about when to. */
 const STEP_RETRY_MS: Milliseconds = 150
-/** The share of workers that a policy allows, until it is learned. */
-const USUAL_ALLOWED_SHARE = 0.45
-/** Weight of the newest answer in the learned share. */
-const SHARE_WEIGHT = 0.1
-
 export function createPlanner(term: number, limits: PlannerLimits, ports: PlannerPorts): Planner {
   const {clock, log, store, reader, askers, configuration} = ports
   const startedAt = clock.now()
@@ -91,7 +86,6 @@
   let passes = 0
   /** When the store last showed that this leader still leads. */
   let confirmedAt = startedAt
-  const shares = new Map<string, number>()
   /** Workers of which an earlier leader's runs are not known yet. */
   const unfenced = new Set<WorkerState>()
 
@@ -108,6 +102,7 @@
     isStoreFailing: ports.isStoreFailing,
     onSuperseded: superseded,
   })
+  const planningPass = createPlanningPass()
   const adviser = createAdviser(clock, log, askers)
   const jobs = createJobTable(clock, log, ledger, findQueue, stopAll)
 
@@ -255,6 +250,7 @@
     const terms = queue.advice
     if (!terms) return
     run.asking = true
+    const begun = clock.now()
     adviser.ask({
       step: run.name,
       workers: ids,
@@ -263,10 +259,21 @@
       isWanted: () => !closed && run.waiting.size > 0 && run.owner.progress.outcome === undefined,
       onAnswer(permits) {
         run.asking = false
+        const took = Math.round(clock.now() - begun)
+        log.info(
+          {
+            event: "advice",
+            step: run.name,
+            queue: queue.name,
+            asked: ids.length,
+            allowed: permits?.length,
+            took,
+          },
+          "advice was asked",
+        )
         if (permits) {
           const expires = clock.now() + terms.ticketLife
           const allowed = new Map(permits.map(permit => [permit.worker, permit.ticket]))
-          learnShare(run, queue, ids, allowed)
           for (const id of ids) run.verdicts.set(id, allowed.has(id))
           for (const [id, ticket] of allowed) run.tickets.set(id, {ticket, expires})
         }
@@ -275,19 +282,6 @@
     })
   }
 
-  function learnShare(
-    run: StepRun,
-    queue: Queue,
-    ids: readonly string[],
-    allowed: ReadonlyMap<string, string>,
-  ): void {
-    const fresh = ids.filter(id => !run.verdicts.has(id))
-    if (fresh.length === 0) return
-    const share = fresh.filter(id => allowed.has(id)).length / fresh.length
-    const before = shares.get(queue.name) ?? USUAL_ALLOWED_SHARE
-    shares.set(queue.name, before + (share - before) * SHARE_WEIGHT)
-  }
-
   /** Slows tasks that fill when a task that serves on the same worker nears its limit. */
   function pace(worker: WorkerState): void {
     let worst = 0
@@ -317,11 +311,18 @@
     if (clock.now() - startedAt > longest * 1.02) unfenced.clear()
   }
 
+  function urgentPriorities(): ReadonlyMap<string, number> {
+    const urgent = new Map<string, number>()
+    for (const {service, priority} of configuration()?.queues ?? [])
+      urgent.set(service, Math.min(priority, urgent.get(service) ?? priority))
+    return urgent
+  }
+
   function runPass(): void {
     passScheduled = false
     if (closed || !loaded) return
     passes += 1
-    planPass(
+    planningPass.run(
       {
         now: clock.now(),
         wallClock: clock.wallClock(),
@@ -329,7 +330,7 @@
         workers: pool.workers.values(),
         queueOf: active => jobs.queueOf(active.job),
         mayStartInherited,
-        allowedShare: name => shares.get(name) ?? USUAL_ALLOWED_SHARE,
+        urgentPriority: urgentPriorities(),
         idleAskers: adviser.idle(),
       },
       {start: startTasks, ask: askFor},
--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -1,6 +1,7 @@
 /**
  * One pass over the steps that wait: the most urgent first, each gets workers that have room and a ticket; for the
- * rest advice is asked. Gives decisions; the planner carries them out.
+ * rest advice is asked. Room is kept for gangs that wait and for waves of urgent work. Gives decisions; the planner
+ * carries them out.
  */
 import type {Milliseconds} from "../core/clock.js"
 import type {Resources} from "../core/resources.js"
@@ -8,10 +9,14 @@
 import {chooseWorkersToAsk} from "../pipelines/asking.js"
 import type {AskOption} from "../pipelines/asking.js"
 import type {Queue} from "../pipelines/model.js"
+import {headroom, NO_HISTORY, noteUse} from "../pipelines/headroom.js"
+import type {UseHistory} from "../pipelines/headroom.js"
 import {compareWaiting, objectiveOf} from "../pipelines/order.js"
 import type {WaitingStep} from "../pipelines/order.js"
 import {placeTasks} from "../pipelines/placing.js"
 import type {WorkerOption} from "../pipelines/placing.js"
+import {freeBeside, NO_RESERVATIONS, reserve} from "../pipelines/reserving.js"
+import type {Reservations} from "../pipelines/reserving.js"
 import {mayBegin} from "../pipelines/progress.js"
 import type {ActiveJob, StepRun, WorkerState} from "./state.js"
 import {roomOf} from "./state.js"
@@ -29,8 +34,8 @@
   readonly queueOf: (active: ActiveJob) => Queue
   /** False while an earlier leader's runs of inherited jobs may be at a worker of the service. */
   readonly mayStartInherited: (service: string) => boolean
-  /** The share of workers that a queue's policy usually allows. */
-  readonly allowedShare: (queue: string) => number
+  /** For each service, the priority of its most urgent queue. */
+  readonly urgentPriority: ReadonlyMap<string, number>
   /** Instances that have no call for advice in hand. */
   readonly idleAskers: number
 }
@@ -124,32 +129,71 @@
   )
 }
 
+/** What one pass knows beside the workers: room kept for gangs, and room kept for the most urgent queue. */
+interface PassState {
+  reservations: Reservations
+  /** For each service, the processors that are free now, and those that patient work must leave. */
+  readonly free: Map<string, number>
+  readonly kept: Map<string, number>
+  readonly urgentPriority: ReadonlyMap<string, number>
+}
+
+/** How many tasks of the step may start, so that the room for more urgent work stays. */
+function mostTasks(open: OpenStep, state: PassState): number {
+  const {run, queue} = open
+  const {step} = run
+  const urgent = state.urgentPriority.get(queue.service) ?? queue.priority
+  if (queue.priority <= urgent || step.lasting || step.fills || step.demand.processors === 0)
+    return run.waiting.size
+  const spare = (state.free.get(queue.service) ?? 0) - (state.kept.get(queue.service) ?? 0)
+  return Math.min(run.waiting.size, Math.max(0, Math.floor(spare / step.demand.processors)))
+}
+
 /** Places what can be placed of a step now. */
 function place(
   open: OpenStep,
   workers: readonly WorkerState[],
   now: Milliseconds,
+  state: PassState,
   actions: PassActions,
 ): void {
   const {run, queue} = open
   const demand = roomOf(run.step)
+  const most = mostTasks(open, state)
+  if (most === 0 || (run.step.gang && most < run.waiting.size)) return
   const ready = workers.filter(
     worker => fits(demand, freeAt(worker)) && (queue.advice === undefined || hasTicket(run, worker, now)),
   )
   if (ready.length === 0) return
+  const options = ready.map(worker => optionOf(run, worker))
   const chosen = placeTasks(
     run.step,
-    run.waiting.size,
-    ready.map(worker => optionOf(run, worker)),
+    most,
+    options.map(option => ({...option, free: freeBeside(option, state.reservations.get(option.id))})),
   )
   if (chosen.length === 0) return
   const byId = new Map(ready.map(worker => [worker.listing.id, worker]))
+  state.free.set(queue.service, (state.free.get(queue.service) ?? 0) - chosen.length * demand.processors)
   actions.start(
     run,
     chosen.map(id => byId.get(id)).filter(worker => worker !== undefined),
   )
 }
 
+/** Keeps room for a gang that waits, on workers that are known to be allowed. */
+function reserveFor(open: OpenStep, workers: readonly WorkerState[], state: PassState): void {
+  const {run, queue} = open
+  if (!run.step.gang || run.assignments.size > 0) return
+  const allowed = workers.filter(
+    worker => queue.advice === undefined || run.verdicts.get(worker.listing.id) === true,
+  )
+  state.reservations = reserve(
+    state.reservations,
+    run.step,
+    allowed.map(worker => optionOf(run, worker)),
+  )
+}
+
 /** Asks for advice where room is, or ahead of room for the first steps of a service. */
 function ask(
   open: OpenStep,
@@ -159,7 +203,7 @@
   actions: PassActions,
 ): void {
   const {run, queue} = open
-  if (run.asking || run.waiting.size === 0) return
+  if (run.asking || run.waiting.size === 0 || !queue.advice) return
   const options: AskOption[] = workers
     .filter(worker => run.verdicts.get(worker.listing.id) !== false && !hasTicket(run, worker, view.now))
     .map(worker => ({
@@ -168,26 +212,88 @@
       held: heldBy(run, worker),
       allowed: run.verdicts.get(worker.listing.id) === true,
     }))
-  const share = view.allowedShare(queue.name)
-  let chosen = chooseWorkersToAsk(run.step, run.waiting.size, options, share, false)
-  if (chosen.length === 0 && ahead && run.verdicts.size === 0)
-    chosen = chooseWorkersToAsk(run.step, run.waiting.size, options, share, true)
+  // A gang's tickets are kept fresh, since its room may come at any moment and stays empty while it asks.
+  const mayAskAhead = ahead && (run.verdicts.size === 0 || run.step.gang)
+  const chosen = chooseWorkersToAsk(run.step, options, queue.advice, mayAskAhead)
   if (chosen.length > 0) actions.ask(run, queue, chosen)
 }
 
-/** Runs one pass. */
-export function planPass(view: PassView, actions: PassActions): void {
-  const pool = [...view.workers].filter(worker => isUsable(worker, view.now))
-  const asked = new Map<string, number>()
-  let idle = view.idleAskers
-  for (const open of openSteps(view)) {
-    const workers = eligible(open.run, open.queue, pool)
-    place(open, workers, view.now, actions)
-    if (!open.queue.advice || open.run.waiting.size === 0) continue
-    const rank = asked.get(open.queue.service) ?? 0
-    asked.set(open.queue.service, rank + 1)
-    const before = open.run.asking
-    ask(open, workers, rank < AHEAD_STEPS && idle > 0, view, actions)
-    if (!before && open.run.asking) idle -= 1
+function useOf(view: PassView, urgent: ReadonlyMap<string, number>): ReadonlyMap<string, number> {
+  const use = new Map<string, number>()
+  for (const active of view.active) {
+    const queue = view.queueOf(active)
+    if (queue.priority !== urgent.get(queue.service)) continue
+    let processors = 0
+    for (const {step, assignments} of active.runs) {
+      if (!step.lasting) processors += assignments.size * step.demand.processors
+    }
+    use.set(queue.service, (use.get(queue.service) ?? 0) + processors)
+  }
+  return use
+}
+
+function freeProcessors(pool: readonly WorkerState[]): {
+  readonly free: Map<string, number>
+  readonly total: ReadonlyMap<string, number>
+} {
+  const free = new Map<string, number>()
+  const total = new Map<string, number>()
+  for (const worker of pool) {
+    const {service, capacity} = worker.listing
+    free.set(service, (free.get(service) ?? 0) + freeAt(worker).processors)
+    total.set(service, (total.get(service) ?? 0) + capacity.processors)
+  }
+  return {free, total}
+}
+
+export interface PlanningPass {
+  readonly run: (view: PassView, actions: PassActions) => void
+}
+
+/** Creates the pass. It remembers how much room urgent work has needed lately. */
+export function createPlanningPass(): PlanningPass {
+  const histories = new Map<string, UseHistory>()
+
+  function keepRoom(view: PassView, pool: readonly WorkerState[], steps: readonly OpenStep[]): PassState {
+    const {free, total} = freeProcessors(pool)
+    const use = useOf(view, view.urgentPriority)
+    const kept = new Map<string, number>()
+    for (const [service, processors] of total) {
+      const now = use.get(service) ?? 0
+      let wanted = now
+      for (const {run, queue} of steps) {
+        if (
+          queue.service === service &&
+          queue.priority === view.urgentPriority.get(service) &&
+          !run.step.lasting
+        )
+          wanted += run.waiting.size * run.step.demand.processors
+      }
+      const history = noteUse(histories.get(service) ?? NO_HISTORY, view.now, wanted)
+      histories.set(service, history)
+      kept.set(service, headroom(history, now, processors))
+    }
+    return {reservations: NO_RESERVATIONS, free, kept, urgentPriority: view.urgentPriority}
+  }
+
+  return {
+    run(view, actions) {
+      const pool = [...view.workers].filter(worker => isUsable(worker, view.now))
+      const steps = openSteps(view)
+      const state = keepRoom(view, pool, steps)
+      const asked = new Map<string, number>()
+      let idle = view.idleAskers
+      for (const open of steps) {
+        const workers = eligible(open.run, open.queue, pool)
+        place(open, workers, view.now, state, actions)
+        if (open.run.waiting.size === 0) continue
+        reserveFor(open, workers, state)
+        const rank = asked.get(open.queue.service) ?? 0
+        asked.set(open.queue.service, rank + 1)
+        const before = open.run.asking
+        ask(open, workers, rank < AHEAD_STEPS && idle > 0, view, actions)
+        if (!before && open.run.asking) idle -= 1
+      }
+    },
   }
 }
--- a/src/planner/workerlink.ts
+++ b/src/planner/workerlink.ts
@@ -107,7 +107,8 @@
   async function loop(): Promise<void> {
     while (isOpen()) {
       const sentAt = clock.now()
-      const deadline = extend()
+      // An order to a silent worker may still be carried out, so it must not move the end of the lease.
+      const deadline = worker.reachable && !doubted ? extend() : undefined
       const wait = hasMixedWork(worker) ? SHARED_REPORT_WAIT_MS : REPORT_WAIT_MS
       const answer = await calls.report(target(), {
         term,
@@ -162,9 +163,8 @@
     checkpoint: string,
   ): Promise<void> {
     let maybeSent = false
-    for (let attempt = 0; attempt < START_TRIES; attempt += 1) {
-      const deadline = extend()
-      if (deadline === undefined) break
+    const deadline = extend()
+    for (let attempt = 0; attempt < START_TRIES && deadline !== undefined; attempt += 1) {
       const {task} = assignment
       const order = {task, attempt: assignment.attempt, payload, deadline, term, ticket, checkpoint}
       const answer = await calls.start(target(), order)
