Workers that are gone leave the roster; a shorter wait for workers out of reach after a takeover

A leader that neither the store nor a follower answers now stops after 1.5 s, so that the barrier ends 1.5 s and a lease after all others follow.

--- a/src/planner/instance.ts
+++ b/src/planner/instance.ts
@@ -91,6 +91,8 @@
         ...ports,
         store,
         isStoreFailing: () => health.failingFor() > 0,
+        isFollowed: leadership.isFollowed,
+        allFollow: leadership.allFollow,
         askers,
         configuration: configuration.current,
         onSuperseded() {
--- a/src/planner/leadership.ts
+++ b/src/planner/leadership.ts
@@ -41,6 +41,10 @@
   readonly leaderAge: () => Milliseconds
   readonly members: () => readonly Member[]
   readonly noteMember: (member: Member) => void
+  /** At the leader: a follower has pinged it lately. */
+  readonly isFollowed: () => boolean
+  /** At the leader: every instance that followed the former leader follows this one, the former leader aside. */
+  readonly allFollow: () => boolean
   /** The planner was refused by a worker or by the store, because another one leads. */
   readonly superseded: () => void
   /** Asks a follower to take the lead, before a planned stop. */
@@ -58,7 +62,7 @@
 /** A leader that the store has not answered for this span is replaced by a follower that reaches the store. */
 const CUT_OFF_MS: Milliseconds = 200
 /** Another follower that heard the leader within this span speaks for it. */
-const HEARD_MS: Milliseconds = 700
+const HEARD_MS: Milliseconds = 300
 /** An instance that reaches no other one leaves the lead alone for this long. */
 const ISOLATED_MS: Milliseconds = 5000
 /** Instances that find the leader dead try in random order within this span. */
@@ -77,6 +81,8 @@
   let isolatedSince: Milliseconds | undefined
   const memberSeen = new Map<string, {readonly member: Member; readonly at: Milliseconds}>()
   let announced: readonly Member[] = []
+  /** The other followers of the former leader, when this instance took over. */
+  let expected: readonly Member[] = []
 
   function adopt(term: number, member: Member): void {
     if (known && term <= known.term) return
@@ -122,6 +128,9 @@
 
   function lead(term: number): void {
     if (leading && known?.term === term) return
+    const former = known?.member.name
+    expected = announced.filter(({name}) => name !== self.name && name !== former)
+    memberSeen.clear()
     known = {term, member: self}
     leading = true
     heardAt = clock.now()
@@ -246,6 +255,8 @@
       leading = false
       known = undefined
     },
+    isFollowed: () => currentMembers().length > 1,
+    allFollow: () => expected.every(({name}) => memberSeen.has(name)),
     async handOver() {
       draining = true
       if (!leading || !known) return
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -46,6 +46,10 @@
   readonly askers: () => readonly Asker[]
   readonly configuration: () => FleetConfiguration | undefined
   readonly isStoreFailing: () => boolean
+  /** A follower has pinged this leader lately. */
+  readonly isFollowed: () => boolean
+  /** Every instance that followed the former leader follows this one. */
+  readonly allFollow: () => boolean
   readonly onSuperseded: () => void
 }
 
@@ -72,6 +76,10 @@
 const WORK_POLL_MS: Milliseconds = 1000
 /** After this span without an answer of the store, this leader no longer extends leases or starts tasks. */
 const UNCONFIRMED_LIMIT_MS: Milliseconds = 15_000
+/** The same for a leader that no follower pings either: another one may lead by now. */
+const ISOLATED_LIMIT_MS: Milliseconds = 1500
+/** Covers clocks of workers that run 2% slow, and the way of an order. */
+const CLOCK_MARGIN = 1.1
 /** A worker that refused for want of room or health is left alone for this span. */
 const AVOID_MS: Milliseconds = 400
 /** A step is not tried again before this span after a refusal that says nothing about when to. */
@@ -86,6 +94,7 @@
   let passes = 0
   /** When the store last showed that this leader still leads. */
   let confirmedAt = startedAt
+  let followedSince: Milliseconds | undefined
   /** Workers of which an earlier leader's runs are not known yet. */
   const unfenced = new Set<WorkerState>()
 
@@ -142,8 +151,7 @@
         log,
         calls: ports.workers,
         leaseLife: limits.leaseLife,
-        mayAct: () =>
-          !closed && clock.now() - Math.max(confirmedAt, ledger.confirmedAt()) < UNCONFIRMED_LIMIT_MS,
+        mayAct,
         events,
       }),
   })
@@ -305,10 +313,30 @@
     return true
   }
 
-  /** An earlier leader may have extended leases until it knew that it was unconfirmed. */
+  /** False when another instance may lead by now without this one having heard of it. */
+  function mayAct(): boolean {
+    const unconfirmed = clock.now() - Math.max(confirmedAt, ledger.confirmedAt())
+    return !closed && unconfirmed < (ports.isFollowed() ? UNCONFIRMED_LIMIT_MS : ISOLATED_LIMIT_MS)
+  }
+
+  /**
+   * Workers that this leader cannot reach may run what a former leader gave them, until the leases have passed that
+   * it may still have extended. Once all others follow this leader, the former one stops early.
+   */
   function passBarrier(): void {
-    const longest = UNCONFIRMED_LIMIT_MS + limits.leaseLife
-    if (clock.now() - startedAt > longest * 1.02) unfenced.clear()
+    const now = clock.now()
+    if (ports.allFollow()) followedSince ??= now
+    const lease = limits.leaseLife * CLOCK_MARGIN
+    const over =
+      (followedSince !== undefined && now - followedSince > ISOLATED_LIMIT_MS + lease) ||
+      now - startedAt > UNCONFIRMED_LIMIT_MS + lease
+    if (!over || unfenced.size === 0) return
+    log.warn(
+      {event: "barrier-passed", workers: unfenced.size},
+      "the leases on workers out of reach have passed",
+    )
+    unfenced.clear()
+    planSoon()
   }
 
   function urgentPriorities(): ReadonlyMap<string, number> {
--- a/src/planner/workerpool.ts
+++ b/src/planner/workerpool.ts
@@ -10,7 +10,7 @@
 import type {WorkerLink} from "./workerlink.js"
 
 /** A worker that is listed no more and has nothing left is kept this long, in case its entry comes back. */
-const FORGET_MS: Milliseconds = 8000
+const FORGET_MS: Milliseconds = 2500
 
 export interface WorkerPool {
   readonly workers: ReadonlyMap<string, WorkerState>
@@ -69,6 +69,8 @@
     links.get(worker)?.close()
     links.delete(worker)
     if (workers.get(worker.listing.id) === worker) workers.delete(worker.listing.id)
+    // A later leader must not wait for a worker that is gone.
+    void record()
     onChange()
   }
 
