Tests of a whole fleet on a virtual clock; an instance without the store learns the leader from its peers

The tests found two faults: an instance that the store turns away never learned of a new leader and refused what it could have passed on; a call that failed late made the store count as failing although newer calls had been answered. Both fixed, and a claim whose reply is lost counts.

--- a/src/planner/leadership.ts
+++ b/src/planner/leadership.ts
@@ -85,7 +85,7 @@
   let expected: readonly Member[] = []
 
   function adopt(term: number, member: Member): void {
-    if (known && term <= known.term) return
+    if ((known && term <= known.term) || member.name === self.name) return
     known = {term, member}
     leading = false
     heardAt = clock.now()
@@ -98,8 +98,10 @@
       log.error({event: "leader-unreadable", revision: item.revision}, "the leader's key cannot be read")
       return
     }
+    // The reply to an earlier claim was lost.
+    if (record.life === life) lead(item.revision)
     // A key of an earlier life of this process names nobody.
-    if (record.name === self.name && record.life !== life) known = undefined
+    else if (record.name === self.name) known = undefined
     else if (!leading) adopt(item.revision, {name: record.name, address: record.address})
   }
 
@@ -121,9 +123,7 @@
     }
     const [item] = result.value.items
     if (!item) return
-    // The reply to an earlier claim may have been lost.
-    if (parseLeader(item.value)?.life === life) lead(item.revision)
-    else adoptItem(item)
+    adoptItem(item)
   }
 
   function lead(term: number): void {
@@ -139,17 +139,21 @@
     ports.onLead(term)
   }
 
-  /** True when no other instance speaks for the leader, so that this one may claim. */
-  async function mayClaim(term: number): Promise<boolean> {
+  /** Pings the other instances and adopts a later leader that one of them names. */
+  async function askPeers(): Promise<readonly PingAnswer[]> {
     const others = knownAddresses().filter(address => address !== known?.member.address)
-    if (others.length === 0) return true
     const answers = await Promise.all(
       others.map(address => clients.reach(address).ping(self, SECOND_PING_TIMEOUT_MS)),
     )
     const reached = answers.filter(answer => answer.isOk()).map(answer => answer.value)
-    for (const answer of reached) {
-      if (answer.leader && answer.term > term) adopt(answer.term, answer.leader)
-    }
+    for (const answer of reached) if (answer.leader) adopt(answer.term, answer.leader)
+    return reached
+  }
+
+  /** True when no other instance speaks for the leader, so that this one may claim. */
+  async function mayClaim(term: number): Promise<boolean> {
+    if (knownAddresses().every(address => address === known?.member.address)) return true
+    const reached = await askPeers()
     if (reached.some(answer => answer.term === term && answer.leaderAgeMs < HEARD_MS && !answer.leads))
       return false
     if (reached.length > 0) {
@@ -171,7 +175,10 @@
   async function resolveLeader(dead: boolean): Promise<void> {
     const read = await store.read(LEADER_KEY)
     if (stopped || leading || draining) return
-    if (read.isErr()) return
+    if (read.isErr()) {
+      await askPeers()
+      return
+    }
     const item = read.value
     if (!item) {
       await sleep(clock, random.next() * STAGGER_MS)
--- a/src/planner/storehealth.ts
+++ b/src/planner/storehealth.ts
@@ -18,26 +18,31 @@
 
 export function watchStoreHealth(inner: KeyValueStore, clock: Clock): StoreHealth {
   let failedSince: Milliseconds | undefined
-  /** For each call in hand, the instant from which its answer is late. */
-  const lateFrom = new Map<number, Milliseconds>()
+  /** When the latest call began that was answered. An older call that fails says nothing any more. */
+  let answeredBegun = -Infinity
+  /** For each call in hand, when it began and from when its answer is late. */
+  const inHand = new Map<number, {readonly begun: Milliseconds; readonly lateAt: Milliseconds}>()
   let calls = 0
 
   async function watched<T, E>(call: Promise<Result<T, E>>, wait: Milliseconds): Promise<Result<T, E>> {
     calls += 1
     const number = calls
     const begun = clock.now()
-    lateFrom.set(number, begun + wait + LATE_MS)
+    inHand.set(number, {begun, lateAt: begun + wait + LATE_MS})
     const result = await call
-    lateFrom.delete(number)
-    if (result.isErr()) failedSince ??= begun
-    else if (begun >= (failedSince ?? begun)) failedSince = undefined
+    inHand.delete(number)
+    if (result.isOk()) {
+      answeredBegun = Math.max(answeredBegun, begun)
+      if (begun >= (failedSince ?? begun)) failedSince = undefined
+    } else if (begun >= answeredBegun) failedSince ??= begun
     return result
   }
 
   function failingFor(): Milliseconds {
     const now = clock.now()
     let since = failedSince ?? Infinity
-    for (const late of lateFrom.values()) if (late <= now) since = Math.min(since, late - LATE_MS)
+    for (const {begun, lateAt} of inHand.values())
+      if (lateAt <= now && begun >= answeredBegun) since = Math.min(since, lateAt - LATE_MS)
     return since === Infinity ? 0 : Math.max(1, now - since)
   }
 
--- /dev/null
+++ b/test/fleet/failures.test.ts
@@ -0,0 +1,255 @@
+/** What must hold while instances, workers and the store fail: no task twice, nothing lost, work goes on soon. */
+import test from "ava"
+import {seededRandom} from "../../src/core/random.js"
+import {jobOf, STEP, testFleet} from "../support/fleet.js"
+import type {TestFleet} from "../support/fleet.js"
+
+/** Two steps of three tasks each; every job is handed in at another instance. */
+async function submitMany(fleet: TestFleet, first: number, count: number) {
+  const jobs = Array.from({length: count}, (_, index) =>
+    jobOf(first + index, [{count: 3}, {count: 3, after: [0]}]),
+  )
+  for (const [index, job] of jobs.entries()) {
+    const names = fleet.names()
+    const answer = await fleet.submit(names[index % names.length] ?? "", job)
+    if (answer.type !== "stored") throw new RangeError(`The job ${job.id} was not stored: ${answer.type}.`)
+  }
+  return jobs
+}
+
+test("when the leader dies another one goes on within a second, and no task runs twice", async t => {
+  const fleet = testFleet()
+  await fleet.clock.advance(1000)
+  const jobs = await submitMany(fleet, 100, 6)
+  const former = fleet.leader() ?? ""
+  fleet.kill(former)
+  await fleet.clock.advance(1000)
+  t.truthy(fleet.leader())
+  await fleet.clock.advance(3000)
+  for (const job of jobs) t.is(await fleet.stateAt(fleet.names()[0] ?? "", job), "completed")
+  t.deepEqual(fleet.workers.faults(), [])
+  t.is(Math.max(...fleet.workers.starts().values()), 1)
+})
+
+test("a leader that the store turns away is replaced, and what it still orders is refused", async t => {
+  const fleet = testFleet()
+  await fleet.clock.advance(1000)
+  const former = fleet.leader() ?? ""
+  const jobs = await submitMany(fleet, 200, 4)
+  fleet.store.setMode("refusing", former)
+  await fleet.clock.advance(1500)
+  const later = fleet.leader()
+  t.truthy(later)
+  t.not(later, former)
+  const more = await submitMany(fleet, 220, 4)
+  await fleet.clock.advance(4000)
+  for (const job of [...jobs, ...more]) t.is(await fleet.stateAt(later ?? "", job), "completed")
+  t.deepEqual(fleet.workers.faults(), [])
+})
+
+test("while the store is away work goes on, and new jobs are refused at once and never run", async t => {
+  for (const mode of ["refusing", "silent"] as const) {
+    const fleet = testFleet()
+    await fleet.clock.advance(1000)
+    const jobs = await submitMany(fleet, 300, 3)
+    fleet.store.setMode(mode)
+    await fleet.clock.advance(1500)
+    t.is(fleet.workers.done().size, 18, "steps follow each other without the store")
+    const begun = fleet.clock.now()
+    const refused = jobOf(399, [{}])
+    const answer = await fleet.submit("entry-2", refused)
+    t.is(answer.type, "refused")
+    t.true(fleet.clock.now() - begun < 100)
+    await fleet.clock.advance(3000)
+    fleet.store.setMode("up")
+    await fleet.clock.advance(3000)
+    for (const job of jobs) t.is(await fleet.stateAt("entry-3", job), "completed")
+    t.is(await fleet.stateAt("entry-3", refused), "unknown-job")
+    t.deepEqual(fleet.workers.faults(), [])
+    t.is(Math.max(...fleet.workers.starts().values()), 1)
+  }
+})
+
+test("lost replies and late writes of the store lose no job and double none", async t => {
+  for (const mode of ["losing", "late"] as const) {
+    const fleet = testFleet()
+    await fleet.clock.advance(1000)
+    const jobs = await submitMany(fleet, 400, 3)
+    fleet.store.setMode(mode)
+    const open = jobOf(450, [{count: 2}])
+    const answer = await fleet.submit("entry-1", open)
+    t.not(answer.type, "refused", "a write may have happened")
+    await fleet.clock.advance(1000)
+    fleet.store.setMode("up")
+    await fleet.clock.advance(500)
+    t.is((await fleet.submit("entry-2", open)).type, "stored")
+    await fleet.clock.advance(8000)
+    for (const job of [...jobs, open]) t.is(await fleet.stateAt("entry-1", job), "completed")
+    t.deepEqual(fleet.workers.faults(), [])
+  }
+})
+
+test("tasks on a silent worker start elsewhere once its lease has passed, and not before", async t => {
+  const fleet = testFleet({workers: 2, planOf: () => ({demand: STEP.demand, runs: 6000})})
+  await fleet.clock.advance(1000)
+  const job = jobOf(500, [{count: 4}])
+  await fleet.submit("entry-1", job)
+  await fleet.clock.advance(500)
+  fleet.workers.cut("worker-1")
+  await fleet.clock.advance(2000)
+  t.is(fleet.workers.starts().size, 4)
+  await fleet.clock.advance(14_000)
+  t.is(await fleet.stateAt("entry-1", job), "completed")
+  t.deepEqual(fleet.workers.faults(), [])
+})
+
+test("a worker that starts anew under its name gets its tasks again", async t => {
+  const fleet = testFleet({workers: 2, planOf: () => ({demand: STEP.demand, runs: 2000})})
+  await fleet.clock.advance(1000)
+  const job = jobOf(600, [{count: 6}])
+  await fleet.submit("entry-1", job)
+  await fleet.clock.advance(500)
+  fleet.workers.crash("worker-1")
+  await fleet.clock.advance(300)
+  fleet.workers.restart("worker-1")
+  fleet.register(fleet.workers.listing("worker-1"))
+  await fleet.clock.advance(6000)
+  t.is(await fleet.stateAt("entry-2", job), "completed")
+  t.deepEqual(fleet.workers.faults(), [])
+})
+
+test("a worker out of the new leader's reach keeps its tasks until the former leader's leases have passed", async t => {
+  const fleet = testFleet({workers: 2, planOf: () => ({demand: STEP.demand, runs: 4000})})
+  await fleet.clock.advance(1000)
+  const job = jobOf(700, [{count: 4}])
+  await fleet.submit("entry-1", job)
+  await fleet.clock.advance(300)
+  const former = fleet.leader() ?? ""
+  for (const name of fleet.names()) if (name !== former) fleet.workers.cut("worker-1", name)
+  fleet.store.setMode("silent", former)
+  for (const name of fleet.names()) if (name !== former) fleet.cut(former, name)
+  await fleet.clock.advance(12_000)
+  fleet.workers.heal("worker-1")
+  fleet.healAll()
+  fleet.store.setMode("up", former)
+  await fleet.clock.advance(8000)
+  t.is(await fleet.stateAt(fleet.leader() ?? "", job), "completed")
+  t.deepEqual(fleet.workers.faults(), [])
+})
+
+test("orders that are carried out late double nothing", async t => {
+  const fleet = testFleet({seed: 7})
+  const random = seededRandom(7)
+  await fleet.clock.advance(1000)
+  fleet.workers.delayOrders(0.1, random.next)
+  const jobs = await submitMany(fleet, 800, 8)
+  await fleet.clock.advance(6000)
+  fleet.workers.delayOrders(0, random.next)
+  await fleet.clock.advance(14_000)
+  for (const job of jobs) t.is(await fleet.stateAt("entry-1", job), "completed")
+  t.deepEqual(fleet.workers.faults(), [])
+})
+
+test("when all instances die and start again, everything accepted is completed once", async t => {
+  const fleet = testFleet()
+  await fleet.clock.advance(1000)
+  const jobs = await submitMany(fleet, 900, 5)
+  const names = [...fleet.names()]
+  for (const name of names) fleet.kill(name)
+  await fleet.clock.advance(1500)
+  for (const name of names) fleet.boot(name)
+  await fleet.clock.advance(4000)
+  for (const job of jobs) t.is(await fleet.stateAt("entry-2", job), "completed")
+  t.deepEqual(fleet.workers.faults(), [])
+  t.is(Math.max(...fleet.workers.starts().values()), 1)
+})
+
+test("a planned stop hands the lead over, and jobs are taken meanwhile", async t => {
+  const fleet = testFleet()
+  await fleet.clock.advance(1000)
+  const former = fleet.leader() ?? ""
+  await fleet.settle(fleet.instance(former).drain())
+  const job = jobOf(950, [{count: 2}])
+  t.is((await fleet.submit(former, job)).type, "stored")
+  await fleet.clock.advance(500)
+  t.not(fleet.leader(), former)
+  fleet.kill(former)
+  await fleet.clock.advance(2000)
+  t.is(await fleet.stateAt(fleet.leader() ?? "", job), "completed")
+})
+
+test("a worker that has left keeps no later leader waiting", async t => {
+  const fleet = testFleet({workers: 2, planOf: () => ({demand: STEP.demand, runs: 3000})})
+  await fleet.clock.advance(1000)
+  fleet.workers.crash("worker-2")
+  fleet.unregister("worker-2")
+  await fleet.clock.advance(8000)
+  const job = jobOf(960, [{count: 2}, {after: [0]}])
+  await fleet.submit("entry-1", job)
+  await fleet.clock.advance(500)
+  fleet.kill(fleet.leader() ?? "")
+  await fleet.clock.advance(3600)
+  t.is(fleet.workers.running().length, 1, "the second step runs")
+})
+
+for (const seed of [1, 2, 3, 4, 5, 6]) {
+  test(`faults in random order break no promise, seed ${seed}`, async t => {
+    const random = seededRandom(seed)
+    const fleet = testFleet({seed, instances: 4, workers: 5})
+    await fleet.clock.advance(1000)
+    const jobs: ReturnType<typeof jobOf>[] = []
+    const pick = <T>(items: readonly T[]): T => items[random.below(items.length)] as T
+    for (let round = 0; round < 25; round += 1) {
+      const names = fleet.names()
+      const job = jobOf(seed * 1000 + round, [{count: 2}, {count: 2, after: [0]}])
+      if (names.length > 0 && (await fleet.submit(pick(names), job)).type === "stored") jobs.push(job)
+      const fault = random.below(9)
+      const worker = `worker-${1 + random.below(5)}`
+      if (fault === 0 && names.length > 1) {
+        const victim = pick(names)
+        fleet.kill(victim)
+        fleet.clock.after(1500, () => fleet.boot(victim))
+      } else if (fault === 1) {
+        fleet.workers.cut(worker)
+        fleet.clock.after(3000, () => fleet.workers.heal(worker))
+      } else if (fault === 2) {
+        fleet.store.setMode(pick(["refusing", "silent", "losing", "late"] as const))
+        fleet.clock.after(1800, () => fleet.store.setMode("up"))
+      } else if (fault === 3 && fleet.leader() !== undefined) {
+        const leader = fleet.leader() ?? ""
+        fleet.store.setMode(pick(["refusing", "silent"] as const), leader)
+        fleet.clock.after(2500, () => fleet.store.setMode("up", leader))
+      } else if (fault === 4) {
+        fleet.workers.delayOrders(0.15, random.next)
+        fleet.clock.after(1500, () => fleet.workers.delayOrders(0, random.next))
+      } else if (fault === 5 && names.length > 1) {
+        fleet.cut(pick(names), pick(names))
+        fleet.clock.after(2500, () => fleet.healAll())
+      } else if (fault === 6) fleet.store.compact()
+      await fleet.clock.advance(random.below(900))
+    }
+    fleet.store.setMode("up")
+    fleet.healAll()
+    for (let index = 1; index <= 5; index += 1) fleet.workers.heal(`worker-${index}`)
+    await fleet.clock.advance(40_000)
+    t.deepEqual(fleet.workers.faults(), [])
+    for (const job of jobs) t.is(await fleet.stateAt(fleet.leader() ?? "", job), "completed")
+  })
+}
+
+test("an instance whose claim was written but not answered leads all the same", async t => {
+  const fleet = testFleet({instances: 2})
+  await fleet.clock.advance(1000)
+  const former = fleet.leader() ?? ""
+  const other = fleet.names().find(name => name !== former) ?? ""
+  fleet.store.setMode("losing", other)
+  fleet.kill(former)
+  await fleet.clock.advance(2500)
+  fleet.store.setMode("up", other)
+  await fleet.clock.advance(2000)
+  t.is(fleet.leader(), other)
+  const job = jobOf(970, [{count: 2}])
+  await fleet.submit(other, job)
+  await fleet.clock.advance(2000)
+  t.is(await fleet.stateAt(other, job), "completed")
+})
--- /dev/null
+++ b/test/fleet/jobs.test.ts
@@ -0,0 +1,145 @@
+/** Each kind of job on a calm fleet: what workers are told, and what callers are told at any instance. */
+import test from "ava"
+import {jobOf, listingOf, QUEUE, STEP, testFleet} from "../support/fleet.js"
+
+test("the steps of a job run in their order, and every instance tells its state", async t => {
+  const fleet = testFleet()
+  await fleet.clock.advance(500)
+  const job = jobOf(1, [{count: 3}, {count: 2, after: [0]}])
+  t.is((await fleet.submit("entry-2", job)).type, "stored")
+  for (const name of fleet.names()) t.not(await fleet.stateAt(name, job), "unknown-job")
+  await fleet.clock.advance(600)
+  t.deepEqual(
+    [...fleet.workers.done()].map(task => task.slice(17)).sort(),
+    ["0.0.0", "0.0.1", "0.0.2"],
+    "the second step waits for the first",
+  )
+  await fleet.clock.advance(1000)
+  for (const name of fleet.names()) t.is(await fleet.stateAt(name, job), "completed")
+  t.is(fleet.workers.done().size, 5)
+  t.deepEqual(fleet.workers.faults(), [])
+})
+
+test("a job handed in twice, also at another instance and after its end, is one job", async t => {
+  const fleet = testFleet()
+  await fleet.clock.advance(500)
+  const job = jobOf(2, [{count: 2}])
+  for (const name of fleet.names()) t.is((await fleet.submit(name, job)).type, "stored")
+  await fleet.clock.advance(1500)
+  for (const name of fleet.names()) t.is((await fleet.submit(name, job)).type, "stored")
+  await fleet.clock.advance(1500)
+  t.is(await fleet.stateAt("entry-1", job), "completed")
+  t.deepEqual([...fleet.workers.starts().values()], [1, 1])
+})
+
+test("a gang starts as a whole or not at all", async t => {
+  const demand = {processors: 6, memoryMebibytes: 100, accelerators: 0}
+  const fleet = testFleet({
+    workers: 2,
+    planOf: task =>
+      task.startsWith("0000000000000003") ? {demand, runs: 500, gang: 2} : {demand, runs: 900},
+  })
+  await fleet.clock.advance(500)
+  const single = jobOf(4, [{demand}])
+  const gang = jobOf(3, [{count: 2, gang: true, demand}])
+  await fleet.submit("entry-1", single)
+  await fleet.clock.advance(100)
+  await fleet.submit("entry-1", gang)
+  await fleet.clock.advance(300)
+  t.deepEqual(fleet.workers.running(), ["0000000000000004.0.0.0"], "the gang waits for room for both")
+  await fleet.clock.advance(2500)
+  t.is(await fleet.stateAt("entry-3", gang), "completed")
+  t.deepEqual(fleet.workers.faults(), [])
+})
+
+test("a task that fails is tried again, and its job has failed after the attempts of its queue", async t => {
+  const fleet = testFleet({
+    planOf: task => ({demand: STEP.demand, runs: 100, failures: task.startsWith("0000000000000005") ? 2 : 9}),
+  })
+  await fleet.clock.advance(500)
+  const recovers = jobOf(5, [{}])
+  const hopeless = jobOf(6, [{}])
+  await fleet.submit("entry-1", recovers)
+  await fleet.submit("entry-1", hopeless)
+  await fleet.clock.advance(3000)
+  t.is(await fleet.stateAt("entry-2", recovers), "completed")
+  t.is(await fleet.stateAt("entry-2", hopeless), "failed")
+  t.is(fleet.workers.starts().get(`${hopeless.id}.0.0.0`), QUEUE.attempts)
+})
+
+test("tasks that last start again however they end, until the job is cancelled", async t => {
+  const fleet = testFleet()
+  await fleet.clock.advance(500)
+  const job = jobOf(7, [{count: 2, lasting: true}])
+  await fleet.submit("entry-1", job)
+  await fleet.clock.advance(3000)
+  t.true((fleet.workers.starts().get(`${job.id}.0.0.0`) ?? 0) > 3)
+  t.is(await fleet.stateAt("entry-2", job), "running")
+  t.is(await fleet.settle(fleet.instance("entry-3").intake.cancel(job.id)), "cancelled")
+  await fleet.clock.advance(1000)
+  t.deepEqual(fleet.workers.running(), [])
+  for (const name of fleet.names()) t.is(await fleet.stateAt(name, job), "cancelled")
+  const unknown = await fleet.settle(fleet.instance("entry-1").intake.cancel("00000000000000ff"))
+  t.is(unknown, "unknown-job")
+})
+
+test("each occurrence of a repeated job starts when it is due", async t => {
+  const fleet = testFleet()
+  await fleet.clock.advance(500)
+  const job = jobOf(8, [{}], {occurrences: 3, firstDue: fleet.clock.wallClock() + 1000, interval: 1000})
+  await fleet.submit("entry-1", job)
+  await fleet.clock.advance(900)
+  t.is(fleet.workers.starts().size, 0)
+  await fleet.clock.advance(700)
+  t.is(fleet.workers.starts().size, 1)
+  await fleet.clock.advance(1000)
+  t.is(fleet.workers.starts().size, 2)
+  await fleet.clock.advance(2000)
+  t.is(await fleet.stateAt("entry-2", job), "completed")
+})
+
+test("a start needs a worker with the label, a ticket, and less of its step than the limit", async t => {
+  const fleet = testFleet({
+    workers: 3,
+    queues: [{...QUEUE, advice: {base: 30, perWorker: 1, ticketLife: 2000}}],
+    allows: (_step, worker) => worker !== "worker-2",
+  })
+  const labelled = listingOf("special", {labels: ["b", "r9"], rack: "r9"})
+  fleet.workers.addWorker(labelled)
+  fleet.register(labelled)
+  await fleet.clock.advance(1500)
+  const spread = jobOf(9, [{count: 3, perWorker: 1}])
+  const special = jobOf(10, [{label: "b"}])
+  await fleet.submit("entry-1", spread)
+  await fleet.submit("entry-1", special)
+  await fleet.clock.advance(300)
+  const places = new Map<unknown, unknown>()
+  for (const {event, fields} of fleet.lines) if (event === "start") places.set(fields.task, fields.worker)
+  t.is(places.get(`${special.id}.0.0.0`), "special")
+  const used = [...places].filter(([task]) => String(task).startsWith(spread.id)).map(([, worker]) => worker)
+  t.deepEqual(used.sort(), ["special", "worker-1", "worker-3"])
+})
+
+test("a leaving worker gets no new task within a second", async t => {
+  const fleet = testFleet({workers: 2})
+  await fleet.clock.advance(1500)
+  fleet.register({...fleet.workers.listing("worker-1"), leaving: true})
+  await fleet.clock.advance(1000)
+  for (let number = 20; number < 30; number += 1) await fleet.submit("entry-1", jobOf(number, [{}]))
+  await fleet.clock.advance(1000)
+  const places = fleet.lines.filter(({event}) => event === "start").map(({fields}) => fields.worker)
+  t.true(places.length === 10 && places.every(worker => worker === "worker-2"))
+})
+
+test("a version of the configuration never goes back, and counts of what waits are told everywhere", async t => {
+  const fleet = testFleet({workers: 0})
+  await fleet.clock.advance(1500)
+  fleet.configure({version: 40})
+  await fleet.clock.advance(500)
+  fleet.configure({version: 39})
+  await fleet.clock.advance(500)
+  for (const name of fleet.names()) t.is(fleet.instance(name).configuration()?.version, 40)
+  for (let number = 40; number < 45; number += 1) await fleet.submit("entry-1", jobOf(number, [{}]))
+  await fleet.clock.advance(1000)
+  for (const name of fleet.names()) t.is(fleet.instance(name).intake.pending("checks"), 5)
+})
--- /dev/null
+++ b/test/support/fleet.ts
@@ -0,0 +1,302 @@
+/** Whole instances on a virtual clock, with a store, workers and advice in memory and calls between them as functions. */
+import {err, ok} from "neverthrow"
+import type {Result} from "neverthrow"
+import type {Milliseconds} from "../../src/core/clock.js"
+import {sleep, withTimeout} from "../../src/core/clock.js"
+import {CallFailed} from "../../src/core/errors.js"
+import type {Logger} from "../../src/core/logger.js"
+import {seededRandom} from "../../src/core/random.js"
+import type {VirtualClock} from "../../src/core/virtualclock.js"
+import {virtualClock} from "../../src/core/virtualclock.js"
+import type {FleetClients, FleetHandlers, FleetPeer} from "../../src/peer/fleet.js"
+import type {FleetConfiguration, PipelineJob, Queue, Step, WorkerListing} from "../../src/pipelines/model.js"
+import type {AdviceCalls, FleetReader} from "../../src/pipelines/ports.js"
+import {createFleetInstance} from "../../src/planner/instance.js"
+import type {FleetInstance} from "../../src/planner/instance.js"
+import {fakeStore} from "./fakestore.js"
+import type {FakeStore} from "./fakestore.js"
+import {fakeWorkers} from "./fakeworkers.js"
+import type {FakeWorkers, TaskPlan} from "./fakeworkers.js"
+
+const PEER_ANSWER_MS: Milliseconds = 2
+const PATIENCE_MS: Milliseconds = 3000
+
+export const QUEUE: Queue = {
+  name: "checks",
+  host: "example",
+  prefix: "/checks/",
+  service: "crease",
+  priority: 0,
+  attempts: 3,
+  slackFactor: 1.5,
+  latencyTarget: 250,
+  advice: undefined,
+}
+
+export const STEP: Step = {
+  count: 1,
+  demand: {processors: 1, memoryMebibytes: 100, accelerators: 0},
+  estimate: 500,
+  after: [],
+  checkpointing: false,
+  gang: false,
+  sameRack: false,
+  label: "",
+  preferredRack: "",
+  perWorker: 0,
+  speculative: false,
+  lasting: false,
+  image: "",
+  tailLimit: 0,
+  fills: false,
+  mayMiss: 0,
+}
+
+/** A job with the given steps. Numbers make names of 16 hexadecimal digits. */
+export function jobOf(
+  number: number,
+  steps: readonly Partial<Step>[],
+  rest: Partial<PipelineJob> = {},
+): PipelineJob {
+  return {
+    id: number.toString(16).padStart(16, "0"),
+    queue: QUEUE,
+    payload: `payload ${number}`,
+    steps: steps.map(step => ({...STEP, ...step})),
+    occurrences: 1,
+    firstDue: 0,
+    interval: 0,
+    acceptedAt: 0,
+    ...rest,
+  }
+}
+
+export function listingOf(id: string, rest: Partial<WorkerListing> = {}): WorkerListing {
+  return {
+    id,
+    service: "crease",
+    address: `${id}:1`,
+    dataCentre: "a",
+    labels: ["a", "r1"],
+    rack: "r1",
+    capacity: {processors: 8, memoryMebibytes: 10_000, accelerators: 4},
+    leaving: false,
+    bornAt: 1,
+    ...rest,
+  }
+}
+
+const READER: FleetReader = {
+  workerPrefix: "workers/",
+  operatorPrefix: "operator/",
+  configurationKey: "operator/configuration",
+  decodeWorker: (_key, value) => JSON.parse(value) as WorkerListing,
+  decodeConfiguration: value => JSON.parse(value) as FleetConfiguration,
+}
+
+export interface FleetOptions {
+  readonly instances?: number
+  readonly workers?: number
+  readonly queues?: readonly Queue[]
+  /** What a task does; by default 400 ms on one core. */
+  readonly planOf?: (task: string) => TaskPlan
+  /** Whether advice allows a worker to run a step; by default it does. */
+  readonly allows?: (step: string, worker: string) => boolean
+  readonly seed?: number
+}
+
+export interface LogLine {
+  readonly instance: string
+  readonly event: string
+  readonly fields: Readonly<Record<string, unknown>>
+}
+
+export interface TestFleet {
+  readonly clock: VirtualClock
+  readonly store: FakeStore
+  readonly workers: FakeWorkers
+  readonly lines: readonly LogLine[]
+  readonly names: () => readonly string[]
+  readonly instance: (name: string) => FleetInstance
+  readonly leader: () => string | undefined
+  readonly kill: (name: string) => void
+  /** Starts an instance, also again after it was killed. */
+  readonly boot: (name: string) => void
+  /** No call between the two gets through. */
+  readonly cut: (one: string, other: string) => void
+  readonly healAll: () => void
+  readonly register: (listing: WorkerListing) => void
+  readonly unregister: (worker: string) => void
+  readonly configure: (configuration: Partial<FleetConfiguration>) => void
+  /** Lets time pass until the promise has settled. */
+  readonly settle: <T>(promise: Promise<T>) => Promise<T>
+  readonly submit: (name: string, job: PipelineJob) => ReturnType<FleetInstance["intake"]["submit"]>
+  /** The state of a job as an instance tells it. */
+  readonly stateAt: (name: string, job: PipelineJob) => Promise<string>
+}
+
+const USUAL_PLAN: TaskPlan = {demand: STEP.demand, runs: 400}
+
+export function testFleet(options: FleetOptions = {}): TestFleet {
+  const clock = virtualClock(1000)
+  const store = fakeStore(clock)
+  const workers = fakeWorkers(clock, options.planOf ?? (() => USUAL_PLAN))
+  const lines: LogLine[] = []
+  const alive = new Map<string, FleetInstance>()
+  const cuts = new Set<string>()
+  let lives = 0
+  let version = 0
+
+  function addressOf(name: string): string {
+    return `${name}:7000`
+  }
+
+  function isCut(one: string, other: string): boolean {
+    return cuts.has(`${one} ${other}`) || cuts.has(`${other} ${one}`)
+  }
+
+  function logOf(instance: string): Logger {
+    const write = (fields: object): void => {
+      const {event, ...rest} = fields as {readonly event: string}
+      lines.push({instance, event, fields: rest})
+    }
+    return {debug: () => undefined, info: write, warn: write, error: write}
+  }
+
+  function clientsOf(caller: string): FleetClients {
+    function reach(address: string): FleetPeer {
+      const name = address.slice(0, address.indexOf(":"))
+      async function call<T>(
+        act: (handlers: FleetHandlers) => T | Promise<T>,
+        timeout: Milliseconds,
+      ): Promise<Result<T, CallFailed>> {
+        await sleep(clock, PEER_ANSWER_MS)
+        const target = alive.get(name)
+        if (isCut(caller, name)) {
+          await sleep(clock, timeout)
+          return err(new CallFailed(address, "no answer", "unknown"))
+        }
+        if (!target) return err(new CallFailed(address, "connection refused", "not-run"))
+        const answer = await withTimeout(clock, Promise.resolve(act(target.handlers)), timeout, undefined)
+        if (answer === undefined || alive.get(name) !== target)
+          return err(new CallFailed(address, "no answer", "unknown"))
+        return ok(answer)
+      }
+      return {
+        ping: (sender, timeout) => call(handlers => handlers.ping(sender), timeout),
+        storeJob: (record, stored, timeout) => call(handlers => handlers.storeJob(record, stored), timeout),
+        jobState: (job, timeout) => call(handlers => handlers.jobState(job), timeout),
+        cancelJob: (job, timeout) => call(handlers => handlers.cancelJob(job), timeout),
+        ask: async (step, names, timeout) => {
+          const answer = await call(
+            async handlers => ({permits: await handlers.ask(step, names, timeout)}),
+            timeout,
+          )
+          return answer.map(({permits}) => permits)
+        },
+        takeOver: (term, timeout) => call(handlers => handlers.takeOver(term), timeout),
+      }
+    }
+    return {reach, close: () => undefined}
+  }
+
+  const advice: AdviceCalls = {
+    async ask(step, names) {
+      await sleep(clock, 30)
+      const allowed = names.filter(worker => options.allows?.(step, worker) ?? true)
+      return ok(allowed.map(worker => ({worker, ticket: `${step}/${worker}`})))
+    },
+  }
+
+  const names = Array.from({length: options.instances ?? 3}, (_, index) => `entry-${index + 1}`)
+
+  function boot(name: string): void {
+    lives += 1
+    const instance = createFleetInstance(
+      {
+        member: {name, address: addressOf(name)},
+        life: `life-${lives}`,
+        seeds: names.map(addressOf),
+        longestLease: 10_000,
+      },
+      {
+        clock,
+        random: seededRandom((options.seed ?? 1) + lives),
+        log: logOf(name),
+        store: store.portFor(name),
+        reader: READER,
+        workers: workers.callsFor(name),
+        advice,
+        clients: clientsOf(name),
+      },
+    )
+    alive.set(name, instance)
+    instance.start()
+  }
+
+  function register(listing: WorkerListing): void {
+    store.put(`${READER.workerPrefix}${listing.id}`, JSON.stringify(listing))
+  }
+
+  function configure(configuration: Partial<FleetConfiguration>): void {
+    version += 3
+    const value: FleetConfiguration = {
+      version,
+      queues: options.queues ?? [QUEUE],
+      services: [],
+      bodyLimit: 100_000,
+      ...configuration,
+    }
+    store.put(READER.configurationKey, JSON.stringify(value))
+  }
+
+  configure({})
+  for (let index = 1; index <= (options.workers ?? 4); index += 1) {
+    const listing = listingOf(`worker-${index}`)
+    workers.addWorker(listing)
+    register(listing)
+  }
+  for (const name of names) boot(name)
+
+  function instance(name: string): FleetInstance {
+    const found = alive.get(name)
+    if (!found) throw new RangeError(`The instance ${name} is not running.`)
+    return found
+  }
+
+  async function settle<T>(promise: Promise<T>): Promise<T> {
+    let result: {readonly value: T} | undefined
+    void promise.then(value => {
+      result = {value}
+    })
+    for (let turn = 0; turn < 2000 && !result; turn += 1) await clock.advance(10)
+    if (!result) throw new RangeError("The call did not end.")
+    return result.value
+  }
+
+  return {
+    clock,
+    store,
+    workers,
+    lines,
+    names: () => [...alive.keys()],
+    instance,
+    leader: () => [...alive].find(([, one]) => one.counts().leads === 1)?.[0],
+    kill(name) {
+      instance(name).stop()
+      alive.delete(name)
+    },
+    boot,
+    cut: (one, other) => void cuts.add(`${one} ${other}`),
+    healAll: () => cuts.clear(),
+    register,
+    unregister: worker => store.remove(`${READER.workerPrefix}${worker}`),
+    configure,
+    settle,
+    submit: (name, job) => settle(instance(name).intake.submit(job, PATIENCE_MS)),
+    async stateAt(name, job) {
+      const answer = await settle(instance(name).intake.state(job.id))
+      return answer.type === "state" ? answer.state : answer.type
+    },
+  }
+}
