--- a/src/pipelines/reserving.ts
+++ b/src/pipelines/reserving.ts
@@ -1,6 +1,7 @@
 /**
- * Reserves workers for a gang that finds no room now. Smaller work that is less urgent would otherwise take each
- * freed piece, and a gang that needs whole workers would wait for ever. Others may still use what the gang leaves.
+ * Reserves workers for tasks that find no room now. Smaller work that is less urgent would otherwise take each freed
+ * piece, and a task that needs a whole worker, or a gang that needs several, would wait for ever. Others may still
+ * use what the reservation leaves.
  */
 import type {Resources} from "../core/resources.js"
 import {add, fits, NOTHING} from "../core/resources.js"
@@ -8,7 +9,7 @@
 import type {WorkerOption} from "./placing.js"
 import {placeTasks} from "./placing.js"
 
-/** Room that is kept for gangs, by worker. */
+/** Room that is kept, by worker. */
 export type Reservations = ReadonlyMap<string, Resources>
 
 export const NO_RESERVATIONS: Reservations = new Map()
@@ -24,21 +25,22 @@
 }
 
 /**
- * Adds a reservation for all tasks of the gang, on the allowed workers that have most free now. Gives the same
- * reservations when the gang would not even fit on these workers if they were empty.
+ * Adds a reservation for the tasks of a step, on the allowed workers that have most free now. Tasks that would not
+ * even fit if these workers were empty get none; a gang gets all or none.
  */
 export function reserve(
   reservations: Reservations,
   step: Step,
+  wanted: number,
   allowed: readonly WorkerOption[],
 ): Reservations {
   const empty = allowed.map(option => {
     const reserved = reservations.get(option.id) ?? NOTHING
     const bare = {...option, free: option.capacity}
-    return {...option, free: freeBeside(bare, reserved), failureShare: busyShare(option), held: 0}
+    return {...option, free: freeBeside(bare, reserved), failureShare: busyShare(option)}
   })
-  const chosen = placeTasks(step, step.count, empty)
-  if (chosen.length < step.count) return reservations
+  const chosen = placeTasks(step, wanted, empty)
+  if (chosen.length === 0) return reservations
   const next = new Map(reservations)
   for (const id of chosen) next.set(id, add(next.get(id) ?? NOTHING, step.demand))
   return next
--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -24,7 +24,9 @@
 /** A ticket with less than this left may have lapsed when the start arrives. */
 const TICKET_MARGIN_MS: Milliseconds = 60
 /** Steps for which advice is asked ahead of room, for each service. */
-const AHEAD_STEPS = 4
+const AHEAD_STEPS = 3
+/** Calls ahead of room are made only while more instances than this have no call in hand. */
+const IDLE_FOR_AHEAD = 2
 
 export interface PassView {
   readonly now: Milliseconds
@@ -180,16 +182,20 @@
   )
 }
 
-/** Keeps room for a gang that waits, on workers that are known to be allowed. */
+/** The most tasks of one step for which room is kept. */
+const MOST_RESERVED = 16
+
+/** Keeps room for tasks that wait, on workers that are known to be allowed. */
 function reserveFor(open: OpenStep, workers: readonly WorkerState[], state: PassState): void {
   const {run, queue} = open
-  if (!run.step.gang || run.assignments.size > 0) return
+  if (run.step.fills || mostTasks(open, state) < run.waiting.size) return
   const allowed = workers.filter(
     worker => queue.advice === undefined || run.verdicts.get(worker.listing.id) === true,
   )
   state.reservations = reserve(
     state.reservations,
     run.step,
+    run.step.gang ? run.waiting.size : Math.min(MOST_RESERVED, run.waiting.size),
     allowed.map(worker => optionOf(run, worker)),
   )
 }
@@ -212,9 +218,8 @@
       held: heldBy(run, worker),
       allowed: run.verdicts.get(worker.listing.id) === true,
     }))
-  // A gang's tickets are kept fresh, since its room may come at any moment and stays empty while it asks.
-  const mayAskAhead = ahead && (run.verdicts.size === 0 || run.step.gang)
-  const chosen = chooseWorkersToAsk(run.step, options, queue.advice, mayAskAhead)
+  // Tickets are kept fresh, since room may come at any moment and stays empty while advice is asked.
+  const chosen = chooseWorkersToAsk(run.step, options, queue.advice, ahead)
   if (chosen.length > 0) actions.ask(run, queue, chosen)
 }
 
@@ -291,7 +296,7 @@
         const rank = asked.get(open.queue.service) ?? 0
         asked.set(open.queue.service, rank + 1)
         const before = open.run.asking
-        ask(open, workers, rank < AHEAD_STEPS && idle > 0, view, actions)
+        ask(open, workers, rank < AHEAD_STEPS && idle > IDLE_FOR_AHEAD, view, actions)
         if (!before && open.run.asking) idle -= 1
       }
     },
