--- a/src/planner/ledger.ts
+++ b/src/planner/ledger.ts
@@ -31,6 +31,8 @@
 /** A further transaction is begun beside one that takes longer than this; a quick store gets larger ones instead. */
 const PARALLEL_AFTER_MS: Milliseconds = 25
 const MOST_PARALLEL = 4
+/** Progress that ends no job waits this long for more of its kind, since each transaction has its price. */
+const GATHER_MS: Milliseconds = 30
 
 /** `exists`: the job was there already, from this writer or from another one. */
 export type StoredOutcome = "stored" | "exists" | "not-stored" | "unknown"
@@ -283,7 +285,8 @@
           known.version = version
           known.waiting.push({version, resolve})
         } else notes.set(job, {progress, version, waiting: [{version, resolve}]})
-        advance()
+        if (progress.outcome === undefined) clock.after(GATHER_MS, advance)
+        else advance()
       })
     },
     learn: (job, revision) => void revisions.set(job, revision),
--- a/src/platform/frontend.ts
+++ b/src/platform/frontend.ts
@@ -1,8 +1,9 @@
-/** The platform's HTTP interface for clients and for its readiness checks, over the project's own handlers. */
-import type {Server} from "node:http"
-import {createAdaptorServer} from "@hono/node-server"
-import {Hono} from "hono"
-import type {Context} from "hono"
+/**
+ * The platform's HTTP interface for clients and for its readiness checks, over the project's own handlers. It stands
+ * on the runtime's own server, since each instance has little memory and has to be back soon after a restart.
+ */
+import {createServer} from "node:http"
+import type {IncomingMessage, Server, ServerResponse} from "node:http"
 import type {Milliseconds} from "../core/clock.js"
 import {describeError} from "../core/errors.js"
 import type {Logger} from "../core/logger.js"
@@ -32,104 +33,148 @@
   readonly bodyLimit: number
 }
 
-function patienceOf(context: Context): Milliseconds {
-  const value = Number(context.req.header("x-lacewingstream-deadline-ms"))
+/** What goes back to a client. */
+interface Answer {
+  readonly status: number
+  readonly body: unknown
+  readonly headers?: Readonly<Record<string, string>>
+}
+
+function patienceOf(request: IncomingMessage): Milliseconds {
+  const value = Number(request.headers["x-lacewingstream-deadline-ms"])
   return Number.isFinite(value) && value > 0 ? value : DEFAULT_PATIENCE_MS
 }
 
-function unavailable(context: Context, retryAfter: Milliseconds): Response {
+function refusal(status: number, problem: string): Answer {
+  return {status, body: {Error: problem}}
+}
+
+function unavailable(retryAfter: Milliseconds): Answer {
   const seconds = Math.max(1, Math.ceil(retryAfter / MILLISECONDS_PER_SECOND))
-  return context.json({Error: "unavailable"}, 503, {"Retry-After": String(seconds)})
+  return {...refusal(503, "The service is not available now."), headers: {"Retry-After": String(seconds)}}
+}
+
+/** The whole body, or undefined when it is longer than the limit. */
+async function readBody(request: IncomingMessage, limit: number): Promise<string | undefined> {
+  const chunks: Buffer[] = []
+  let length = 0
+  for await (const chunk of request) {
+    length += (chunk as Buffer).length
+    if (length <= limit) chunks.push(chunk as Buffer)
+  }
+  return length <= limit ? Buffer.concat(chunks).toString("utf8") : undefined
+}
+
+function write(response: ServerResponse, answer: Answer, close: boolean): void {
+  const content = JSON.stringify(answer.body)
+  response.writeHead(answer.status, {
+    "Content-Type": "application/json",
+    "Content-Length": Buffer.byteLength(content),
+    ...answer.headers,
+    ...(close ? {Connection: "close"} : {}),
+  })
+  response.end(content)
 }
 
 /** Creates the server for clients; it is not listening yet. */
 export function createFrontend(ports: FrontendPorts): Server {
   const {intake, configuration, wallClock, log} = ports
-  const app = new Hono()
 
-  function locate(context: Context): Target | "no-configuration" | "not-found" {
+  function locate(request: IncomingMessage): Target | "no-configuration" | "not-found" {
     const present = configuration()
     if (!present) return "no-configuration"
-    const host = (context.req.header("host") ?? "").replace(/:\d+$/, "")
-    const {path} = context.req
+    const host = (request.headers.host ?? "").replace(/:\d+$/, "")
+    const path = (request.url ?? "").replace(/\?.*$/, "")
     const queue = findQueue(present, host, path)
     if (!queue) return "not-found"
     const job = path.slice(queue.prefix.length)
     return job === "" || JOB_ID.test(job) ? {queue, job, bodyLimit: present.bodyLimit} : "not-found"
   }
 
-  async function submit(context: Context, target: Target): Promise<Response> {
+  async function submit(request: IncomingMessage, target: Target): Promise<Answer> {
     const {queue, job: id, bodyLimit} = target
-    const body = await context.req.text()
-    if (Buffer.byteLength(body) > bodyLimit) return context.json({Error: "The body is too long."}, 413)
+    const body = await readBody(request, bodyLimit)
+    if (body === undefined) return refusal(413, `The body is longer than ${bodyLimit} bytes.`)
     const job = readJobRequest(body, {id, queue, acceptedAt: wallClock()})
     if (job.isErr()) {
       log.info(
         {event: "submit-malformed", job: id, queue: queue.name, problems: job.error},
         "a job cannot be read",
       )
-      return context.json({Error: job.error.join(" ")}, 400)
+      return refusal(400, job.error.join(" "))
     }
-    const answer = await intake.submit(job.value, patienceOf(context))
+    const answer = await intake.submit(job.value, patienceOf(request))
     log.info({event: "submit", job: id, queue: queue.name, outcome: answer.type}, "a job was handed in")
     switch (answer.type) {
       case "stored":
-        return context.json({})
+        return {status: 200, body: {}}
       case "refused":
-        return unavailable(context, answer.retryAfter)
+        return unavailable(answer.retryAfter)
       case "unknown":
-        return context.json({Error: "It is not known whether the job is stored."}, 504)
+        return refusal(504, "It is not known whether the job is stored.")
     }
   }
 
-  async function tellState(context: Context, target: Target): Promise<Response> {
-    if (target.job === "") return context.json({Pending: intake.pending(target.queue.name)})
+  async function tellState(target: Target): Promise<Answer> {
+    if (target.job === "") return {status: 200, body: {Pending: intake.pending(target.queue.name)}}
     const answer = await intake.state(target.job)
     switch (answer.type) {
       case "state":
-        return context.json({State: answer.state})
+        return {status: 200, body: {State: answer.state}}
       case "unknown-job":
-        return context.json({Error: "There is no such job."}, 410)
+        return refusal(410, "There is no such job.")
       case "unavailable":
-        return unavailable(context, 0)
+        return unavailable(0)
     }
   }
 
-  async function cancel(context: Context, target: Target): Promise<Response> {
+  async function cancel(target: Target): Promise<Answer> {
     const outcome = await intake.cancel(target.job)
     log.info({event: "cancel", job: target.job, queue: target.queue.name, outcome}, "a cancel came in")
     switch (outcome) {
       case "cancelled":
-        return context.json({})
+        return {status: 200, body: {}}
       case "unknown-job":
-        return context.json({Error: "There is no such job."}, 410)
+        return refusal(410, "There is no such job.")
       case "unavailable":
-        return unavailable(context, 0)
+        return unavailable(0)
     }
   }
 
-  app.all("*", async context => {
-    if (ports.isDraining()) context.header("Connection", "close")
-    const target = locate(context)
-    if (target === "no-configuration") return unavailable(context, 0)
-    if (target === "not-found") return context.json({Error: "There is no such queue."}, 404)
-    if (context.req.method === "GET") return tellState(context, target)
-    if (target.job === "") return context.json({Error: "Name a job."}, 405)
-    if (context.req.method === "POST") return submit(context, target)
-    if (context.req.method === "DELETE") return cancel(context, target)
-    return context.json({Error: "The method is not known here."}, 405)
-  })
-  app.onError((error, context) => {
-    log.error({event: "request-failed", reason: describeError(error)}, "a request could not be handled")
-    return context.json({Error: "The request could not be handled."}, 502)
+  async function handle(request: IncomingMessage): Promise<Answer> {
+    const target = locate(request)
+    if (target === "no-configuration") return unavailable(0)
+    if (target === "not-found") return refusal(404, "There is no such queue.")
+    if (request.method === "GET") return tellState(target)
+    if (target.job === "") return refusal(405, "Name a job.")
+    if (request.method === "POST") return submit(request, target)
+    if (request.method === "DELETE") return cancel(target)
+    return refusal(405, "The method is not known here.")
+  }
+
+  return createServer((request, response) => {
+    handle(request)
+      .catch((error: unknown) => {
+        log.error({event: "request-failed", reason: describeError(error)}, "a request could not be handled")
+        return refusal(502, "The request could not be handled.")
+      })
+      .then(answer => {
+        request.resume()
+        write(response, answer, ports.isDraining())
+      })
+      .catch((error: unknown) => {
+        log.warn({event: "answer-failed", reason: describeError(error)}, "an answer could not be sent")
+      })
   })
-  return createAdaptorServer({fetch: app.fetch}) as Server
 }
 
 /** Creates the server for readiness checks and metrics; it is not listening yet. */
 export function createStatusServer(isReady: () => boolean, metrics: () => string): Server {
-  const app = new Hono()
-  app.get("/api/readyz", context => context.text("", isReady() ? 200 : 503))
-  app.get("/metrics", context => context.text(metrics()))
-  return createAdaptorServer({fetch: app.fetch}) as Server
+  return createServer((request, response) => {
+    if (request.url === "/metrics") response.end(metrics())
+    else {
+      response.statusCode = isReady() ? 200 : 503
+      response.end()
+    }
+  })
 }
