--- a/src/planner/instance.ts
+++ b/src/planner/instance.ts
@@ -55,6 +55,9 @@
 const LEASE_LIFE_MS: Milliseconds = 3000
 /** The longest that a watch of the configuration waits, so that a dead connection is noticed in time. */
 const CONFIGURATION_WAIT_MS: Milliseconds = 1000
+/** While the leader has answered within this span, its pings tell of new versions. */
+const LEADER_HEARD_MS: Milliseconds = 700
+const HEARD_POLL_MS: Milliseconds = 100
 const LOAD_RETRY_MS: Milliseconds = 100
 /** Without a leader for this span an instance tells the platform that it is not ready. */
 const LEADERLESS_MS: Milliseconds = 3000
@@ -78,6 +81,7 @@
     onLead: term => void lead(term),
     onLeaderAnswer(answer) {
       loads = answer.queues
+      if (answer.configurationVersion > (configuration.current()?.version ?? 0)) void fetchConfiguration()
     },
     isStoreFailing: () => health.failingFor() > 0,
   })
@@ -170,20 +174,34 @@
     loads: () => planner?.loads() ?? loads,
   })
 
-  function follow(): void {
-    void followPrefix(
-      store,
-      reader.operatorPrefix,
-      {wait: CONFIGURATION_WAIT_MS, pause: 0},
-      clock,
-      {
-        onList: configuration.onList,
-        onChanges: configuration.onChanges,
-      },
-      () => stopped,
+  /** Followers learn of a new version from the leader's pings, so that one instance alone watches the store. */
+  async function fetchConfiguration(): Promise<void> {
+    const read = await store.read(reader.configurationKey)
+    if (read.isOk() && read.value) configuration.onList([read.value])
+  }
+
+  function isLeaderHeard(): boolean {
+    return (
+      !leadership.leads() && leadership.leaderAge() < LEADER_HEARD_MS && configuration.current() !== undefined
     )
   }
 
+  /** Watches the configuration while no leader does it for this instance. */
+  async function follow(): Promise<void> {
+    while (!stopped) {
+      if (isLeaderHeard()) await sleep(clock, HEARD_POLL_MS)
+      else
+        await followPrefix(
+          store,
+          reader.operatorPrefix,
+          {wait: CONFIGURATION_WAIT_MS, pause: 0},
+          clock,
+          {onList: configuration.onList, onChanges: configuration.onChanges},
+          () => stopped || isLeaderHeard(),
+        )
+    }
+  }
+
   return {
     intake,
     handlers,
@@ -199,7 +217,7 @@
       ...planner?.counts(),
     }),
     start() {
-      follow()
+      void follow()
       leadership.start()
     },
     async drain() {
--- a/src/platform/kvstore.ts
+++ b/src/platform/kvstore.ts
@@ -18,7 +18,7 @@
 /** Longer than the slowest answer seen of a slow store (0.3 s), shorter than a caller's patience (3 s). */
 const CALL_TIMEOUT_MS: Milliseconds = 1200
 /** What a watch may take beyond its wait before its connection counts as dead. */
-const WATCH_SLACK_MS: Milliseconds = 500
+const WATCH_SLACK_MS: Milliseconds = 800
 
 const STATUS_OK = 200
 const STATUS_NOT_FOUND = 404
@@ -104,7 +104,7 @@
     wait: Milliseconds,
   ): Promise<Result<WatchAnswer, StoreUnavailable>> {
     const query = new URLSearchParams({Prefix: prefix, After: String(after), WaitMs: String(wait)})
-    const timeout = wait + CALL_TIMEOUT_MS + WATCH_SLACK_MS
+    const timeout = wait + WATCH_SLACK_MS
     const reply = await call("GET", `/api/kv-watch?${query.toString()}`, undefined, timeout)
     if (reply.isErr()) return err(reply.error)
     if (reply.value.status === STATUS_GONE) return ok({type: "history-lost"})
