A failure that a worker lists to several leaders counts once

A worker lists an end to each new leader until it is noted; when a leader stored a failure and went before it noted it, the next one counted it again. Ruled out by the logs: lost jobs, stuck calls for advice, reservations. Failed runs are now named in the progress, attempt and worker, and a later leader numbers attempts on from them. The test fails without the check.

--- a/src/pipelines/progress.ts
+++ b/src/pipelines/progress.ts
@@ -10,13 +10,23 @@
   readonly outcome: Outcome | undefined
   /** For `occurrence.step`, one character a task: `1` for done. Absent while none is done. */
   readonly done: Readonly<Record<string, string>>
-  /** For `occurrence.step.index`, the number of attempts that failed. A gang counts under index 0. */
-  readonly failures: Readonly<Record<string, number>>
+  /**
+   * For `occurrence.step.index`, the runs that failed, each as `attempt@worker`. A gang counts under index 0. Runs
+   * are named and not counted, since a worker lists an end again to each new leader until it is noted.
+   */
+  readonly failures: Readonly<Record<string, readonly string[]>>
 }
 
 export type ProgressStep =
   | {readonly type: "task-done"; readonly task: TaskName}
-  | {readonly type: "task-failed"; readonly task: TaskName; readonly attempts: number}
+  | {
+      readonly type: "task-failed"
+      readonly task: TaskName
+      readonly attempt: number
+      readonly worker: string
+      /** Failed runs after which the job has failed. */
+      readonly limit: number
+    }
   | {readonly type: "cancelled"}
 
 export const NO_PROGRESS: Progress = {outcome: undefined, done: {}, failures: {}}
@@ -65,6 +75,12 @@
   return allDone(job, next) ? {...next, outcome: "completed"} : next
 }
 
+/** The highest attempt number of a task that is known to have failed; 0 for none. */
+export function highestFailedAttempt(progress: Progress, task: TaskName): number {
+  const runs = progress.failures[`${stepKey(task.occurrence, task.step)}.${task.index}`] ?? []
+  return runs.reduce((highest, run) => Math.max(highest, Number.parseInt(run, 10)), 0)
+}
+
 /** Applies one step. A job that has an outcome keeps it. */
 export function applyProgress(job: PipelineJob, progress: Progress, change: ProgressStep): Progress {
   if (progress.outcome) return progress
@@ -79,9 +95,12 @@
       if (step.lasting || isDone(progress, change.task)) return progress
       const index = step.gang ? 0 : change.task.index
       const key = `${stepKey(change.task.occurrence, change.task.step)}.${index}`
-      const count = (progress.failures[key] ?? 0) + 1
-      const failures = {...progress.failures, [key]: count}
-      return {...progress, failures, outcome: count >= change.attempts ? "failed" : undefined}
+      // The members of a gang fail together, under one attempt.
+      const run = step.gang ? `${change.attempt}` : `${change.attempt}@${change.worker}`
+      const runs = progress.failures[key] ?? []
+      if (runs.includes(run)) return progress
+      const failures = {...progress.failures, [key]: [...runs, run]}
+      return {...progress, failures, outcome: runs.length + 1 >= change.limit ? "failed" : undefined}
     }
   }
 }
--- a/src/planner/reports.ts
+++ b/src/planner/reports.ts
@@ -102,7 +102,9 @@
       stored = jobs.change(owner, {
         type: "task-failed",
         task: name,
-        attempts: jobs.queueOf(owner.job).attempts,
+        attempt: ended.attempt,
+        worker: id,
+        limit: jobs.queueOf(owner.job).attempts,
       })
     }
     if (assignment) drop(assignment)
--- a/src/planner/state.ts
+++ b/src/planner/state.ts
@@ -8,7 +8,7 @@
 import type {PipelineJob, Step, TaskName, WorkerListing} from "../pipelines/model.js"
 import {formatTask} from "../pipelines/model.js"
 import type {Progress} from "../pipelines/progress.js"
-import {isDone} from "../pipelines/progress.js"
+import {highestFailedAttempt, isDone} from "../pipelines/progress.js"
 
 export interface HeldTicket {
   readonly ticket: string
@@ -158,7 +158,10 @@
     retryAt: 0,
   }
   for (let index = 0; index < step.count; index += 1) {
-    if (!isDone(owner.progress, nameOf(run, index))) run.waiting.add(index)
+    const task = nameOf(run, index)
+    if (!isDone(owner.progress, task)) run.waiting.add(index)
+    const failed = highestFailedAttempt(owner.progress, task)
+    if (failed > 0) run.attempts.set(index, failed)
   }
   return run
 }
--- a/test/fleet/reports.test.ts
+++ b/test/fleet/reports.test.ts
@@ -6,11 +6,11 @@
 import {NO_PROGRESS} from "../../src/pipelines/progress.js"
 import {createJobTable} from "../../src/planner/jobtable.js"
 import {createLedger} from "../../src/planner/ledger.js"
-import {LEADER_KEY} from "../../src/planner/records.js"
+import {LEADER_KEY, parseProgress, progressKey} from "../../src/planner/records.js"
 import {createReportReader} from "../../src/planner/reports.js"
 import {clockBounds, createWorker} from "../../src/planner/state.js"
 import {fakeStore} from "../support/fakestore.js"
-import {jobOf, listingOf} from "../support/fleet.js"
+import {jobOf, listingOf, QUEUE} from "../support/fleet.js"
 
 const LEASE_MS = 3000
 
@@ -94,6 +94,26 @@
   t.is(worker.assignments.size, 1)
 })
 
+test("a failure that is listed again to a later leader counts once, another run of the task counts anew", async t => {
+  const {clock, store, jobs, worker, report} = setUp()
+  const job = jobOf(5, [{count: 1}], {queue: {...QUEUE, attempts: 2}})
+  const failed = {...done(1, `${job.id}.0.0.0`), end: "failed"} as const
+  jobs.add(job, NO_PROGRESS, false)
+  void report([], [failed])
+  await clock.advance(200)
+  const stored = parseProgress(store.get(progressKey(job.id))?.value ?? "")
+  const later = setUp()
+  const active = later.jobs.add(job, stored ?? NO_PROGRESS, true)
+  t.is(active?.runs[0]?.attempts.get(0), 1, "a later leader numbers its attempts on")
+  void later.report([], [failed])
+  await later.clock.advance(200)
+  t.is(later.jobs.stateOf(job.id), "queued")
+  void later.report([], [{...failed, number: 2, attempt: 2}])
+  await later.clock.advance(200)
+  t.is(later.jobs.stateOf(job.id), "failed")
+  t.is(worker.noted, 1)
+})
+
 test("a worker that was born anew has lost its runs, and its ends are counted from one", async t => {
   const {clock, jobs, worker, report} = setUp()
   const job = jobOf(4, [{count: 2}])
