--- a/src/cli/daemon.ts
+++ b/src/cli/daemon.ts
@@ -10,6 +10,7 @@
 import {fleetClients, fleetRoutes} from "../peer/fleet.js"
 import {servePeers} from "../peer/server.js"
 import {createFleetInstance} from "../planner/instance.js"
+import {createFleetMetrics} from "../planner/metrics.js"
 import {adviceCalls} from "../platform/advicecalls.js"
 import {FLEET_READER} from "../platform/fleetreader.js"
 import {createFrontend, createStatusServer} from "../platform/frontend.js"
@@ -37,7 +38,10 @@
 
 async function run(settings: FleetSettings): Promise<void> {
   const destination = pino.destination({dest: 1, sync: false, minLength: LOG_BUFFER_BYTES})
-  const log = pino({level: settings.logLevel, base: {instance: settings.instance}}, destination)
+  const fleetMetrics = createFleetMetrics()
+  const log = fleetMetrics.counting(
+    pino({level: settings.logLevel, base: {instance: settings.instance}}, destination),
+  )
   setInterval(() => destination.flush(), LOG_FLUSH_MS).unref()
   const clock = systemClock()
   const life = randomBytes(LIFE_BYTES).toString("hex")
@@ -74,14 +78,13 @@
     inHand += 1
     response.once("close", () => (inHand -= 1))
   })
-  const metrics = (): string =>
-    Object.entries(instance.counts())
-      .map(([name, value]) => `lacewing_${name} ${value}\n`)
-      .join("")
+  const metrics = (): string => fleetMetrics.text({...instance.counts(), requests_in_hand: inHand})
   const status = createStatusServer(instance.isReady, metrics)
   await servePeers(fleetRoutes(instance.handlers), settings.peerAddress, undefined)
   await listen(frontend, settings.callerAddress)
   await listen(status, settings.statusAddress)
+  if (settings.metricsAddress !== "")
+    await listen(createStatusServer(instance.isReady, metrics), settings.metricsAddress)
   instance.start()
   log.info(
     {event: "started", callers: settings.callerAddress, uptime: process.uptime()},
--- a/src/platform/frontend.ts
+++ b/src/platform/frontend.ts
@@ -103,8 +103,10 @@
       )
       return refusal(400, job.error.join(" "))
     }
+    const begun = wallClock()
     const answer = await intake.submit(job.value, patienceOf(request))
-    log.info({event: "submit", job: id, queue: queue.name, outcome: answer.type}, "a job was handed in")
+    const took = wallClock() - begun
+    log.info({event: "submit", job: id, queue: queue.name, outcome: answer.type, took}, "a job was handed in")
     switch (answer.type) {
       case "stored":
         return {status: 200, body: {}}
--- a/src/settings/fleetsettings.ts
+++ b/src/settings/fleetsettings.ts
@@ -14,6 +14,8 @@
   readonly callerAddress: string
   readonly statusAddress: string
   readonly peerAddress: string
+  /** Where metrics are served; empty for nowhere but the status address. */
+  readonly metricsAddress: string
   /** Addresses of a few instances. Only their IP numbers count: all instances use the same port for peers. */
   readonly seeds: readonly string[]
   readonly storeAddress: string
@@ -35,6 +37,7 @@
   "platform",
   "limits",
   "logs",
+  "metrics",
 ])
 /** A lease of this length is granted by every worker known so far. */
 const USUAL_LONGEST_LEASE_MS: Milliseconds = 6000
@@ -52,6 +55,7 @@
     callerAddress: fields.required("callers", "address", address, ""),
     statusAddress: fields.required("status", "address", address, ""),
     peerAddress: fields.required("peers", "address", address, ""),
+    metricsAddress: fields.optional("metrics", "address", optionalText, ""),
     seeds: fields.optional("peers", "seeds", list, []),
     storeAddress: fields.required("platform", "store", address, ""),
     adviceAddress: fields.optional("platform", "advice", optionalText, ""),
--- /dev/null
+++ b/test/platform/calls.test.ts
@@ -0,0 +1,271 @@
+/** The adapter's calls against small servers that answer as the platform does. */
+import {createServer} from "node:http"
+import type {Server} from "node:http"
+import type {AddressInfo} from "node:net"
+import test from "ava"
+import {SILENT} from "../../src/core/logger.js"
+import {CallFailed, StoreUnavailable} from "../../src/core/errors.js"
+import type {FleetConfiguration} from "../../src/pipelines/model.js"
+import type {Intake} from "../../src/planner/intake.js"
+import {adviceCalls} from "../../src/platform/advicecalls.js"
+import {createFrontend, createStatusServer} from "../../src/platform/frontend.js"
+import {jsonCaller} from "../../src/platform/http.js"
+import {keyValueStore} from "../../src/platform/kvstore.js"
+import {workerCalls} from "../../src/platform/workercalls.js"
+import {QUEUE} from "../support/fleet.js"
+
+interface Seen {
+  readonly method: string
+  readonly path: string
+  readonly headers: Readonly<Record<string, unknown>>
+  readonly body: unknown
+}
+
+interface Scripted {
+  readonly status: number
+  readonly body?: unknown
+}
+
+async function bind(server: Server): Promise<string> {
+  await new Promise<void>(resolve => {
+    server.listen(0, "127.0.0.1", resolve)
+  })
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+function close(server: Server): void {
+  server.close()
+  server.closeAllConnections()
+}
+
+/** A server that gives the scripted answers in order and remembers what it was asked. */
+async function scripted(answers: readonly (Scripted | "reset")[]) {
+  const seen: Seen[] = []
+  const left = [...answers]
+  const server = createServer((request, response) => {
+    const chunks: Buffer[] = []
+    request.on("data", (chunk: Buffer) => chunks.push(chunk))
+    request.on("end", () => {
+      const text = Buffer.concat(chunks).toString()
+      const {method = "", url = "", headers} = request
+      seen.push({method, path: url, headers, body: text === "" ? undefined : (JSON.parse(text) as unknown)})
+      const answer = left.shift()
+      if (answer === undefined || answer === "reset") {
+        request.socket.destroy()
+        return
+      }
+      response.writeHead(answer.status, {"Content-Type": "application/json"})
+      response.end(answer.body === undefined ? "" : JSON.stringify(answer.body))
+    })
+  })
+  const address = await bind(server)
+  return {address, seen, close: () => close(server)}
+}
+
+function encoded(value: string): string {
+  return Buffer.from(value).toString("base64")
+}
+
+test("the store's keys, pages, watches and transactions", async t => {
+  const item = (key: string) => ({
+    Key: key,
+    Value: encoded(`value of ${key}`),
+    Revision: 9,
+    Created: 9,
+    Lease: 0,
+  })
+  const server = await scripted([
+    {status: 200, body: {...item("a"), AsOf: 20}},
+    {status: 404, body: {AsOf: 20}},
+    {status: 200, body: {items: [item("p/1"), item("p/2")], HasMore: true, AsOf: 21}},
+    {status: 200, body: {items: [item("p/3")], HasMore: false, AsOf: 22}},
+    {status: 200, body: {events: [item("p/1"), {Key: "p/2", Revision: 30, Tombstone: true}], AsOf: 30}},
+    {status: 410},
+    {status: 200, body: {Revision: 31}},
+    {status: 412, body: {items: [item("a"), {Key: "b", Value: "", Revision: 0}]}},
+    {status: 503},
+    {status: 429},
+    "reset",
+  ])
+  const store = keyValueStore(jsonCaller(), server.address)
+  const transaction = {
+    conditions: [{key: "a", revision: 3}],
+    writes: [{key: "a", value: "é"}],
+    removals: ["b"],
+  }
+  t.snapshot((await store.read("a"))._unsafeUnwrap())
+  t.is((await store.read("b"))._unsafeUnwrap(), undefined)
+  t.snapshot((await store.list("p/"))._unsafeUnwrap())
+  t.snapshot((await store.watch("p/", 22, 500))._unsafeUnwrap())
+  t.deepEqual((await store.watch("p/", 22, 500))._unsafeUnwrap(), {type: "history-lost"})
+  t.deepEqual((await store.commit(transaction))._unsafeUnwrap(), {type: "committed", revision: 31})
+  t.snapshot((await store.commit(transaction))._unsafeUnwrap())
+  const certainties: string[] = []
+  for (let call = 0; call < 3; call += 1) {
+    const failed = (await store.commit(transaction))._unsafeUnwrapErr()
+    t.true(failed instanceof StoreUnavailable)
+    certainties.push(failed.certainty)
+  }
+  t.deepEqual(certainties, ["not-run", "not-run", "unknown"], "a broken connection proves nothing")
+  t.snapshot(server.seen.map(({method, path, body}) => ({method, path, body})))
+  server.close()
+})
+
+test("a worker's answers to reports and orders", async t => {
+  const rows = {
+    ServerTimeMs: 482_113,
+    born: 77,
+    Running: [["t.0.0.1", 2, "c1", 41, 1500]],
+    Finished: [[58, "t.0.0.2", 1, "done", ""]],
+  }
+  const server = await scripted([
+    {status: 200, body: rows},
+    {status: 409, body: {Reason: "fence"}},
+    {status: 421},
+    {status: 200, body: {ServerTimeMs: 1}},
+    {status: 409, body: {Reason: "room"}},
+    {status: 409, body: {Reason: "fence"}},
+    {status: 503},
+    {status: 421},
+    {status: 200},
+    {status: 409, body: {Reason: "fence"}},
+    {status: 200},
+  ])
+  const calls = workerCalls(jsonCaller())
+  const target = {id: "i-7f", address: server.address}
+  const request = {term: 7, noted: 57, deadline: 486_000, wait: 900}
+  t.snapshot((await calls.report(target, request))._unsafeUnwrap())
+  t.deepEqual((await calls.report(target, {...request, deadline: undefined, wait: 0}))._unsafeUnwrap(), {
+    type: "superseded",
+  })
+  t.deepEqual((await calls.report(target, request))._unsafeUnwrap(), {type: "replaced"})
+  const order = {
+    task: "t.0.0.1",
+    attempt: 2,
+    payload: "p",
+    deadline: 486_000,
+    term: 7,
+    ticket: "k",
+    checkpoint: "c",
+  }
+  const answers: unknown[] = []
+  for (let call = 0; call < 5; call += 1)
+    answers.push((await calls.start(target, {...order, ticket: call === 1 ? "" : "k"}))._unsafeUnwrap())
+  t.snapshot(answers)
+  t.is((await calls.stop(target, "t.0.0.1", 2, 7))._unsafeUnwrap(), "done")
+  t.is((await calls.stop(target, "t.0.0.1", 2, 7))._unsafeUnwrap(), "superseded")
+  t.is((await calls.pace(target, "t.0.0.1", 2, 40, 7))._unsafeUnwrap(), "done")
+  t.true(server.seen.every(({headers}) => headers["x-lacewingstream-expect-instance"] === "i-7f"))
+  t.snapshot(server.seen.map(({path, body}) => ({path, body})))
+  server.close()
+})
+
+test("a refused connection proves that nothing was done, silence does not", async t => {
+  const silent = createServer(() => undefined)
+  const address = await bind(silent)
+  const caller = jsonCaller()
+  const unanswered = (await caller.call("POST", address, "/", {}, 50))._unsafeUnwrapErr()
+  t.is(unanswered.certainty, "unknown")
+  silent.closeAllConnections()
+  await new Promise(resolve => silent.close(resolve))
+  const refused = (await caller.call("POST", address, "/", {}, 500))._unsafeUnwrapErr()
+  t.true(refused instanceof CallFailed)
+  t.is(refused.certainty, "not-run")
+})
+
+test("advice names the allowed workers with their tickets", async t => {
+  const server = await scripted([
+    {
+      status: 200,
+      body: {
+        Good: [
+          ["i-1", "k1"],
+          ["i-2", "k2"],
+        ],
+        ValidMs: 3000,
+      },
+    },
+    {status: 429},
+  ])
+  const advice = adviceCalls(jsonCaller(), server.address)
+  t.deepEqual((await advice.ask("j.0.1", ["i-1", "i-2", "i-3"], 500))._unsafeUnwrap(), [
+    {worker: "i-1", ticket: "k1"},
+    {worker: "i-2", ticket: "k2"},
+  ])
+  t.true((await advice.ask("j.0.1", ["i-1"], 500)).isErr())
+  server.close()
+})
+
+test("clients are answered by what the instance says of the job", async t => {
+  const configuration: FleetConfiguration = {version: 1, queues: [QUEUE], services: [], bodyLimit: 400}
+  const intake: Intake = {
+    submit: ({id}) =>
+      Promise.resolve(
+        id.endsWith("1")
+          ? {type: "stored"}
+          : id.endsWith("2")
+            ? {type: "refused", retryAfter: 2000}
+            : {type: "unknown"},
+      ),
+    state: job =>
+      Promise.resolve(
+        job.endsWith("1")
+          ? {type: "state", state: "running"}
+          : job.endsWith("2")
+            ? {type: "unknown-job"}
+            : {type: "unavailable"},
+      ),
+    cancel: job =>
+      Promise.resolve(job.endsWith("1") ? "cancelled" : job.endsWith("2") ? "unknown-job" : "unavailable"),
+    pending: () => 12,
+  }
+  const held: {present: FleetConfiguration | undefined} = {present: undefined}
+  const server = createFrontend({
+    intake,
+    configuration: () => held.present,
+    wallClock: () => 0,
+    log: SILENT,
+    isDraining: () => false,
+  })
+  const address = await bind(server)
+  const answers: unknown[] = []
+  const ask = async (method: string, path: string, body?: unknown): Promise<void> => {
+    const response = await fetch(`http://${address}${path}`, {
+      method,
+      headers: {"Content-Type": "application/json"},
+      ...(body === undefined ? {} : {body: JSON.stringify(body)}),
+    })
+    answers.push([method, path, response.status, response.headers.get("retry-after"), await response.text()])
+  }
+  const job = {Spec: "", Pipeline: [{Count: 1}]}
+  await ask("GET", "/checks/")
+  held.present = {...configuration, queues: [{...QUEUE, host: "127.0.0.1"}]}
+  for (const digit of ["1", "2", "3"]) {
+    const path = `/checks/000000000000000${digit}`
+    await ask("POST", path, job)
+    await ask("GET", path)
+    await ask("DELETE", path)
+  }
+  await ask("GET", "/checks/")
+  await ask("POST", "/checks/0000000000000001", {Spec: "x".repeat(500), Pipeline: [{Count: 1}]})
+  await ask("POST", "/checks/0000000000000001", {Pipeline: []})
+  await ask("POST", "/checks/short", job)
+  await ask("POST", "/other/0000000000000001", job)
+  await ask("PUT", "/checks/0000000000000001", job)
+  t.snapshot(answers)
+  close(server)
+})
+
+test("readiness and metrics", async t => {
+  let ready = false
+  const server = createStatusServer(
+    () => ready,
+    () => "lacewing_leads 1\n",
+  )
+  const address = await bind(server)
+  t.is((await fetch(`http://${address}/api/readyz`)).status, 503)
+  ready = true
+  t.is((await fetch(`http://${address}/api/readyz`)).status, 200)
+  t.is(await (await fetch(`http://${address}/metrics`)).text(), "lacewing_leads 1\n")
+  close(server)
+})
--- /dev/null
+++ b/test/platform/decoding.test.ts
@@ -0,0 +1,158 @@
+/** What the adapter makes of entries, configurations and jobs, and of bytes that are none of these. */
+import test from "ava"
+import fastCheck from "fast-check"
+import {findQueue} from "../../src/pipelines/model.js"
+import {FLEET_READER} from "../../src/platform/fleetreader.js"
+import {readJobRequest} from "../../src/platform/jobrequest.js"
+import {readFleetSettings, seedAddresses} from "../../src/settings/fleetsettings.js"
+import {QUEUE} from "../support/fleet.js"
+
+const ENTRY = {
+  Service: "crease-1",
+  Address: "10.128.0.9:8080",
+  Zone: "cascadia-a",
+  Version: "v1",
+  Capacity: 8,
+  State: "ready",
+  ColdRemainingMs: 0,
+  FreeCapacity: {Cpu: 16_000, MemMb: 32_768},
+  Labels: ["a", "r1-3"],
+  ServerTimeMs: 482_113,
+  Sequence: 4,
+  born: 1_786_089_696_053,
+}
+
+const CONFIGURATION = {
+  Version: 7,
+  Routes: [
+    {
+      Name: "r-1",
+      Host: "a.example",
+      Prefix: "/checks/",
+      Kind: "unsafe",
+      TimeoutMs: 3000,
+      TargetLatencyMs: 250,
+      Priority: 0,
+      Service: "crease-1",
+      Attempts: 3,
+      SlackFactor: 1.5,
+      Advice: {DecideMs: 31.4, EachMs: 0.32, ValidMs: 2000},
+    },
+    {Name: "r-2", Host: "a.example", Prefix: "/checks/deep/", Service: "glide-1"},
+  ],
+  Services: [{Name: "crease-1", HealthPath: "/healthz", Preconditions: false, Standby: false}],
+  Limits: {MaxBodyBytes: 1000},
+}
+
+const JOB = {
+  Spec: "text",
+  Pipeline: [
+    {Count: 4, Cpu: 500, MemMb: 256, EstimateMs: 900, Affinity: "r1-3"},
+    {Count: 2, Cpu: 2000, MemMb: 1024, Gpu: 2, After: [0], Checkpointing: true, Gang: true, AntiAffinity: 1},
+  ],
+}
+
+const IDENTITY = {id: "5c0e7a21d94b36f8", queue: QUEUE, acceptedAt: 1000}
+
+test("an entry of a worker, a configuration and a job become the project's types", t => {
+  t.snapshot(FLEET_READER.decodeWorker("servers/i-7f", JSON.stringify(ENTRY)))
+  t.snapshot(FLEET_READER.decodeConfiguration(JSON.stringify(CONFIGURATION)))
+  t.snapshot(readJobRequest(JSON.stringify(JOB), IDENTITY)._unsafeUnwrap())
+})
+
+test("a repeated job has its occurrences and due times", t => {
+  const body = JSON.stringify({...JOB, RepeatCount: 3, StartAtMs: 5000, IntervalMs: 700})
+  const {occurrences, firstDue, interval} = readJobRequest(body, IDENTITY)._unsafeUnwrap()
+  t.deepEqual({occurrences, firstDue, interval}, {occurrences: 3, firstDue: 5000, interval: 700})
+})
+
+test("every problem of a job is told with its place", t => {
+  const body = JSON.stringify({
+    Spec: "x".repeat(4001),
+    Pipeline: [
+      {Count: 0, Cpu: -1},
+      {Count: 1, After: [1]},
+    ],
+    RepeatCount: 0.5,
+  })
+  t.snapshot(readJobRequest(body, IDENTITY)._unsafeUnwrapErr())
+  t.true(readJobRequest("not json", IDENTITY).isErr())
+})
+
+test("an entry from another writer names no worker", t => {
+  const broken = [
+    "",
+    "[]",
+    "{",
+    JSON.stringify({...ENTRY, State: "resting"}),
+    JSON.stringify({...ENTRY, Service: 5}),
+    JSON.stringify({...ENTRY, Address: "nowhere"}),
+    JSON.stringify({...ENTRY, Labels: "a"}),
+    JSON.stringify({...ENTRY, born: "now"}),
+  ]
+  for (const value of broken) t.is(FLEET_READER.decodeWorker("servers/i-7f", value), undefined, value)
+})
+
+test("the longest prefix of the host decides", t => {
+  const configuration = FLEET_READER.decodeConfiguration(JSON.stringify(CONFIGURATION))
+  if (!configuration) throw new RangeError("The configuration cannot be read.")
+  t.is(findQueue(configuration, "a.example", "/checks/deep/5c0e")?.name, "r-2")
+  t.is(findQueue(configuration, "a.example", "/checks/5c0e")?.name, "r-1")
+  t.is(findQueue(configuration, "b.example", "/checks/5c0e"), undefined)
+  t.is(findQueue(configuration, "a.example", "/other/5c0e"), undefined)
+})
+
+test("no bytes make a reader throw", t => {
+  const mutated = (value: object) =>
+    fastCheck.tuple(fastCheck.nat(), fastCheck.string()).map(([place, text]) => {
+      const whole = JSON.stringify(value)
+      const cut = place % whole.length
+      return whole.slice(0, cut) + text + whole.slice(cut + (place % 7))
+    })
+  const arbitrary = fastCheck.oneof(
+    fastCheck.string(),
+    fastCheck.json(),
+    mutated(ENTRY),
+    mutated(CONFIGURATION),
+    mutated(JOB),
+  )
+  t.notThrows(() =>
+    fastCheck.assert(
+      fastCheck.property(arbitrary, text => {
+        FLEET_READER.decodeWorker("servers/x", text)
+        FLEET_READER.decodeConfiguration(text)
+        const job = readJobRequest(text, IDENTITY)
+        return job.isErr() || job.value.steps.every(step => step.count >= 1 && step.demand.processors >= 0)
+      }),
+      {seed: 7, numRuns: 3000},
+    ),
+  )
+})
+
+const SETTINGS = `[instance]
+name = entry-1
+data_centre = a
+[callers]
+address = 10.1.0.30:8149
+[status]
+address = 10.1.0.30:8141
+[peers]
+address = 10.1.0.30:7380
+seeds = 10.1.0.30:8144,10.2.0.34:8144
+[platform]
+store = 10.200.1.7:8142
+advice =
+[limits]
+longest_lease = 10000ms
+`
+
+test("settings are read, and each finding has its place", t => {
+  const settings = readFleetSettings("a.ini", SETTINGS)._unsafeUnwrap()
+  t.deepEqual(seedAddresses(settings), ["10.1.0.30:7380", "10.2.0.34:7380"])
+  t.is(settings.longestLease, 10_000)
+  const broken = readFleetSettings(
+    "a.ini",
+    SETTINGS.replace("10.200.1.7:8142", "store").replace("[status]\n", "[state]\n"),
+  )
+  t.snapshot(broken._unsafeUnwrapErr())
+})
