Planner split into starter, barrier, pacer and stored work; tests of every pure decision

A filling task taken over from a former leader gets its pace set anew, as that is not known; in danger a pace is sent again, as an order may be lost.

--- a/src/pipelines/pacing.ts
+++ b/src/pipelines/pacing.ts
@@ -4,7 +4,7 @@
  */
 
 /** Above this share of its limit a tail is in danger. */
-const DANGER = 0.75
+export const DANGER = 0.75
 /** Below this share of its limit there is room to give speed back. */
 const CALM = 0.5
 const CUT_FACTOR = 0.4
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -4,29 +4,24 @@
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
-import {askDuration} from "../pipelines/asking.js"
 import type {FleetConfiguration, PipelineJob, Queue} from "../pipelines/model.js"
-import {nextPace} from "../pipelines/pacing.js"
-import type {
-  FleetReader,
-  KeyChange,
-  KeyValueStore,
-  StartAnswer,
-  StoredItem,
-  WorkerCalls,
-} from "../pipelines/ports.js"
+import type {FleetReader, KeyChange, KeyValueStore, StoredItem, WorkerCalls} from "../pipelines/ports.js"
 import type {CancelAnswer, QueueLoad, StoreAnswer} from "../peer/fleet.js"
 import type {Asker} from "./adviser.js"
 import {createAdviser} from "./adviser.js"
+import {createBarrier, unconfirmedLimit} from "./barrier.js"
 import {followPrefix} from "./follow.js"
 import {createJobTable, FRESH} from "./jobtable.js"
 import type {ShownState} from "./jobtable.js"
 import {createLedger} from "./ledger.js"
+import {paceWorker} from "./pacer.js"
 import {createPlanningPass, isUsable} from "./planningpass.js"
-import {LEADER_KEY, meaningOf, parseJob, parseProgress, parseRoster, PREFIX, ROSTER_KEY} from "./records.js"
+import {createStarter} from "./starting.js"
+import {readStoredWork} from "./storedwork.js"
+import {LEADER_KEY, meaningOf, parseJob, PREFIX} from "./records.js"
 import {createReportReader} from "./reports.js"
-import type {ActiveJob, Assignment, StepRun, WorkerState} from "./state.js"
-import {assign, release} from "./state.js"
+import type {ActiveJob, Assignment} from "./state.js"
+import {release} from "./state.js"
 import {openWorkerLink} from "./workerlink.js"
 import type {WorkerLinkEvents} from "./workerlink.js"
 import {createWorkerPool} from "./workerpool.js"
@@ -74,29 +69,17 @@
 const WORKER_POLL_MS: Milliseconds = 350
 /** Work that other instances have stored by themselves is found within this time. */
 const WORK_POLL_MS: Milliseconds = 1000
-/** After this span without an answer of the store, this leader no longer extends leases or starts tasks. */
-const UNCONFIRMED_LIMIT_MS: Milliseconds = 15_000
-/** The same for a leader that no follower pings either: another one may lead by now. */
-const ISOLATED_LIMIT_MS: Milliseconds = 1500
-/** Covers clocks of workers that run 2% slow, and the way of an order. */
-const CLOCK_MARGIN = 1.1
-/** A worker that refused for want of room or health is left alone for this span. */
-const AVOID_MS: Milliseconds = 400
-/** A step is not tried again before this span after a refusal that says nothing about when to. */
-const STEP_RETRY_MS: Milliseconds = 150
+
+/** Creates the planner of one term. */
 export function createPlanner(term: number, limits: PlannerLimits, ports: PlannerPorts): Planner {
   const {clock, log, store, reader, askers, configuration} = ports
   const startedAt = clock.now()
   let closed = false
   let passScheduled = false
   let loaded = false
-  let starts = 0
   let passes = 0
   /** When the store last showed that this leader still leads. */
   let confirmedAt = startedAt
-  let followedSince: Milliseconds | undefined
-  /** Workers of which an earlier leader's runs are not known yet. */
-  const unfenced = new Set<WorkerState>()
 
   const superseded = (): void => {
     if (closed) return
@@ -112,6 +95,7 @@
     onSuperseded: superseded,
   })
   const planningPass = createPlanningPass()
+  const barrier = createBarrier(clock, log, limits.leaseLife, ports.allFollow)
   const adviser = createAdviser(clock, log, askers)
   const jobs = createJobTable(clock, log, ledger, findQueue, stopAll)
 
@@ -122,20 +106,17 @@
   const events: WorkerLinkEvents = {
     async onReport(worker, report, sentAt) {
       const stored = reports.take(worker, report, sentAt)
-      pace(worker)
+      paceWorker(worker, pool.linkOf(worker))
       await stored
     },
     onUnreachable: () => undefined,
     onReplaced(worker) {
-      unfenced.delete(worker)
+      barrier.remove(worker)
       pool.replace(worker)
     },
     onSuperseded: superseded,
-    onStartAnswer: takeStartAnswer,
-    onNotSent(assignment) {
-      assignment.worker.avoidUntil = clock.now() + AVOID_MS
-      drop(assignment)
-    },
+    onStartAnswer: (assignment, answer) => starter.takeAnswer(assignment, answer),
+    onNotSent: assignment => starter.takeNotSent(assignment),
   }
 
   const pool = createWorkerPool({
@@ -164,7 +145,7 @@
     linkOf: worker => pool.linkOf(worker),
     onChange: planSoon,
     onFenced(worker) {
-      unfenced.delete(worker)
+      barrier.remove(worker)
       log.info({event: "worker-fenced", worker: worker.listing.id, term}, "a worker follows this leader")
       planSoon()
     },
@@ -182,161 +163,22 @@
     }
   }
 
-  /** Gives up what has started of a gang, so that it can start again as a whole. */
-  function stopGang(run: StepRun): void {
-    run.retryAt = clock.now() + STEP_RETRY_MS
-    for (const assignment of run.assignments) pool.linkOf(assignment.worker)?.stop(assignment)
-  }
-
-  function takeStartAnswer(assignment: Assignment, answer: StartAnswer): void {
-    const {run, worker} = assignment
-    if (answer.type === "started") {
-      if (assignment.phase === "starting") assignment.phase = "running"
-      assignment.confirmedAt ??= clock.now()
-      run.owner.started = true
-      return
-    }
-    if (answer.type === "replaced") {
-      events.onReplaced(worker)
-      return
-    }
-    const {id} = worker.listing
-    log.info(
-      {
-        event: "start-refused",
-        task: assignment.task,
-        attempt: assignment.attempt,
-        worker: id,
-        reason: answer.reason,
-      },
-      "a worker refused a start",
-    )
-    if (answer.reason === "superseded") {
-      superseded()
-      return
-    }
-    if (answer.reason === "old" && assignment.confirmedAt === undefined) {
-      // An earlier try of this order may have run and ended: the next report tells.
-      assignment.stopConfirmedAt ??= clock.now()
-      assignment.phase = "stopping"
-      return
-    }
-    if (answer.reason === "ticket") run.tickets.delete(id)
-    else if (answer.reason === "malformed") run.retryAt = clock.now() + STEP_RETRY_MS
-    else worker.avoidUntil = clock.now() + AVOID_MS
-    drop(assignment)
-    if (run.step.gang) stopGang(run)
-  }
-
-  function startTasks(run: StepRun, chosen: readonly WorkerState[]): void {
-    const indexes = [...run.waiting].slice(0, chosen.length)
-    const gangAttempt = (run.attempts.get(0) ?? 0) + 1
-    chosen.forEach((worker, position) => {
-      const index = indexes[position]
-      const link = pool.linkOf(worker)
-      if (index === undefined || !link) return
-      const attempt = run.step.gang ? gangAttempt : (run.attempts.get(index) ?? 0) + 1
-      const assignment = assign(run, index, attempt, worker, clock.now())
-      const ticket = run.tickets.get(worker.listing.id)?.ticket ?? ""
-      const checkpoint = run.checkpoints.get(run.step.gang ? 0 : index) ?? ""
-      starts += 1
-      log.info(
-        {
-          event: "start",
-          task: assignment.task,
-          attempt,
-          worker: worker.listing.id,
-          queue: run.owner.job.queue.name,
-        },
-        "a task is started",
-      )
-      link.start(assignment, run.owner.job.payload, ticket, checkpoint)
-    })
-  }
-
-  function askFor(run: StepRun, queue: Queue, ids: readonly string[]): void {
-    const terms = queue.advice
-    if (!terms) return
-    run.asking = true
-    const begun = clock.now()
-    adviser.ask({
-      step: run.name,
-      workers: ids,
-      priority: queue.priority,
-      duration: askDuration(terms, ids.length),
-      isWanted: () => !closed && run.waiting.size > 0 && run.owner.progress.outcome === undefined,
-      onAnswer(permits) {
-        run.asking = false
-        const took = Math.round(clock.now() - begun)
-        log.info(
-          {
-            event: "advice",
-            step: run.name,
-            queue: queue.name,
-            asked: ids.length,
-            allowed: permits?.length,
-            took,
-          },
-          "advice was asked",
-        )
-        if (permits) {
-          const expires = clock.now() + terms.ticketLife
-          const allowed = new Map(permits.map(permit => [permit.worker, permit.ticket]))
-          for (const id of ids) run.verdicts.set(id, allowed.has(id))
-          for (const [id, ticket] of allowed) run.tickets.set(id, {ticket, expires})
-        }
-        planSoon()
-      },
-    })
-  }
-
-  /** Slows tasks that fill when a task that serves on the same worker nears its limit. */
-  function pace(worker: WorkerState): void {
-    let worst = 0
-    let serves = false
-    for (const {run, gauge, percent} of worker.assignments.values()) {
-      if (run.step.tailLimit === 0 || percent < 100) continue
-      serves = true
-      worst = Math.max(worst, gauge / run.step.tailLimit)
-    }
-    for (const assignment of worker.assignments.values()) {
-      if (!assignment.run.step.fills || assignment.phase !== "running") continue
-      const next = serves ? nextPace(assignment.pace, worst) : 100
-      if (next === assignment.pace) continue
-      assignment.pace = next
-      pool.linkOf(worker)?.pace(assignment, next)
-    }
-  }
-
-  function mayStartInherited(service: string): boolean {
-    for (const worker of unfenced) if (worker.listing.service === service) return false
-    return true
-  }
+  const starter = createStarter({
+    clock,
+    log,
+    adviser,
+    linkOf: worker => pool.linkOf(worker),
+    isClosed: () => closed,
+    drop,
+    onReplaced: events.onReplaced,
+    onSuperseded: superseded,
+    planSoon,
+  })
 
   /** False when another instance may lead by now without this one having heard of it. */
   function mayAct(): boolean {
     const unconfirmed = clock.now() - Math.max(confirmedAt, ledger.confirmedAt())
-    return !closed && unconfirmed < (ports.isFollowed() ? UNCONFIRMED_LIMIT_MS : ISOLATED_LIMIT_MS)
-  }
-
-  /**
-   * Workers that this leader cannot reach may run what a former leader gave them, until the leases have passed that
-   * it may still have extended. Once all others follow this leader, the former one stops early.
-   */
-  function passBarrier(): void {
-    const now = clock.now()
-    if (ports.allFollow()) followedSince ??= now
-    const lease = limits.leaseLife * CLOCK_MARGIN
-    const over =
-      (followedSince !== undefined && now - followedSince > ISOLATED_LIMIT_MS + lease) ||
-      now - startedAt > UNCONFIRMED_LIMIT_MS + lease
-    if (!over || unfenced.size === 0) return
-    log.warn(
-      {event: "barrier-passed", workers: unfenced.size},
-      "the leases on workers out of reach have passed",
-    )
-    unfenced.clear()
-    planSoon()
+    return !closed && unconfirmed < unconfirmedLimit(ports.isFollowed())
   }
 
   function urgentPriorities(): ReadonlyMap<string, number> {
@@ -357,11 +199,11 @@
         active: jobs.active.values(),
         workers: pool.workers.values(),
         queueOf: active => jobs.queueOf(active.job),
-        mayStartInherited,
+        mayStartInherited: service => !barrier.blocks(service),
         urgentPriority: urgentPriorities(),
         idleAskers: adviser.idle(),
       },
-      {start: startTasks, ask: askFor},
+      starter,
     )
   }
 
@@ -374,7 +216,7 @@
   function sweep(): void {
     if (closed) return
     pool.sweep()
-    passBarrier()
+    barrier.check()
     jobs.forgetOld()
     planSoon()
     clock.after(SWEEP_MS, sweep)
@@ -413,28 +255,18 @@
   }
 
   function loadWork(items: readonly StoredItem[]): void {
-    const progress = new Map<string, StoredItem>()
-    for (const item of items) {
-      const meaning = meaningOf(item.key)
-      if (meaning?.type === "progress") progress.set(meaning.job, item)
-    }
-    for (const [job, item] of progress) {
-      ledger.learn(job, item.revision)
-      const record = parseProgress(item.value)
+    const work = readStoredWork(items)
+    for (const {job, revision, record} of work.progress.values()) {
+      ledger.learn(job, revision)
       if (record?.outcome) jobs.addEnded(job, record.outcome, record.writtenAt)
     }
-    for (const item of items) {
-      const meaning = meaningOf(item.key)
-      const job = meaning?.type === "job" ? parseJob(item.value) : undefined
-      if (!job) continue
-      const stored = progress.get(job.id)
-      const record = stored && parseProgress(stored.value)
+    for (const job of work.jobs) {
+      const record = work.progress.get(job.id)?.record
       if (!record?.outcome) addJob(job, record ?? FRESH, true)
     }
-    const roster = items.find(item => item.key === ROSTER_KEY)
-    ledger.learnRoster(roster?.revision ?? 0)
-    if (roster) pool.addRecorded(parseRoster(roster.value))
-    takeWork(items.filter(item => meaningOf(item.key)?.type === "cancel"))
+    ledger.learnRoster(work.rosterRevision)
+    pool.addRecorded(work.roster)
+    for (const job of work.cancels) void cancel(job)
   }
 
   async function load(): Promise<boolean> {
@@ -442,7 +274,7 @@
     if (work.isErr() || listed.isErr() || closed) return false
     loadWork(work.value.items)
     pool.onList(listed.value.items)
-    for (const worker of pool.workers.values()) if (!worker.fenced) unfenced.add(worker)
+    for (const worker of pool.workers.values()) if (!worker.fenced) barrier.add(worker)
     loaded = true
     const stopped = (): boolean => closed
     void followPrefix(
@@ -507,7 +339,7 @@
       active: jobs.active.size,
       workers: pool.workers.size,
       usable: [...pool.workers.values()].filter(worker => isUsable(worker, clock.now())).length,
-      starts,
+      starts: starter.starts(),
       passes,
       commits: ledger.commits(),
     }),
--- a/src/planner/reports.ts
+++ b/src/planner/reports.ts
@@ -125,6 +125,8 @@
       const assignment = assign(run, name.index, running.attempt, worker, clock.now())
       assignment.phase = "running"
       assignment.confirmedAt = clock.now()
+      // What the former leader allowed is not known.
+      if (run.step.fills) assignment.pace = 0
       run.owner.started = true
       update(assignment, running)
       return true
