--- a/src/planner/workerpool.ts
+++ b/src/planner/workerpool.ts
@@ -158,7 +158,9 @@
           onChange()
         }
         const idle = worker.assignments.size === 0 && !worker.reachable && !worker.listed
-        if (idle && now - worker.unlistedSince > FORGET_MS) forget(worker)
+        // A worker that has left as planned does not come back.
+        const wait = worker.listing.leaving ? 0 : FORGET_MS
+        if (idle && now - worker.unlistedSince > wait) forget(worker)
       }
     },
     close() {
--- a/src/platform/frontend.ts
+++ b/src/platform/frontend.ts
@@ -25,6 +25,8 @@
 /** Used when a client does not say how long it waits. */
 const DEFAULT_PATIENCE_MS: Milliseconds = 3000
 const MILLISECONDS_PER_SECOND = 1000
+/** Longer than the pauses of clients, so that no request meets a connection that is just being closed. */
+const KEEP_ALIVE_MS: Milliseconds = 65_000
 
 interface Target {
   readonly queue: Queue
@@ -154,7 +156,7 @@
     return refusal(405, "The method is not known here.")
   }
 
-  return createServer((request, response) => {
+  const server = createServer((request, response) => {
     handle(request)
       .catch((error: unknown) => {
         log.error({event: "request-failed", reason: describeError(error)}, "a request could not be handled")
@@ -168,6 +170,8 @@
         log.warn({event: "answer-failed", reason: describeError(error)}, "an answer could not be sent")
       })
   })
+  server.keepAliveTimeout = KEEP_ALIVE_MS
+  return server
 }
 
 /** Creates the server for readiness checks and metrics; it is not listening yet. */
--- a/test/guards/guards.ts
+++ b/test/guards/guards.ts
@@ -11,6 +11,7 @@
 
 const OWNERSHIP = "failures/ownership.test.js"
 const ANSWERS = "requests/answers.test.js"
+const FLEET_FAILURES = "fleet/failures.test.js"
 
 export const GUARDS: readonly Guard[] = [
   {
@@ -175,4 +176,68 @@
     test: ANSWERS,
     match: "requests that servers could read*",
   },
+  {
+    name: "a silent worker's lease is not extended",
+    file: "planner/workerlink.js",
+    find: "worker.reachable && !doubted ? extend() : undefined",
+    replace: "extend()",
+    test: FLEET_FAILURES,
+    match: "tasks on a silent worker*",
+  },
+  {
+    name: "a silent worker's tasks wait for its lease",
+    file: "planner/workerpool.js",
+    find: "bounds.least > worker.deadline",
+    replace: "bounds.least > 0",
+    test: FLEET_FAILURES,
+    match: "tasks on a silent worker*",
+  },
+  {
+    name: "a new leader waits for workers out of its reach",
+    file: "planner/barrier.js",
+    find: "return true;",
+    replace: "return false;",
+    test: FLEET_FAILURES,
+    match: "a worker out of the new leader's reach*",
+  },
+  {
+    name: "nothing is written while the store fails",
+    file: "planner/ledger.js",
+    find: "else if (isStoreFailing())",
+    replace: "else if (false)",
+    test: FLEET_FAILURES,
+    match: "while the store is away*",
+  },
+  {
+    name: "a failure listed twice counts once",
+    file: "pipelines/progress.js",
+    find: "if (runs.includes(run))",
+    replace: "if (false)",
+    test: "fleet/reports.test.js",
+    match: "a failure that is listed again*",
+  },
+  {
+    name: "the lease of an adopted run counts at once",
+    file: "planner/reports.js",
+    find: "worker.deadline = Math.max(worker.deadline, report.clock + leaseLife);",
+    replace: "",
+    test: "fleet/reports.test.js",
+    match: "the lease of a run*",
+  },
+  {
+    name: "tasks that last are no room to come",
+    file: "planner/planningpass.js",
+    find: "capacity: capacityBesideLasting(worker)",
+    replace: "capacity: worker.listing.capacity",
+    test: FLEET_FAILURES,
+    match: "a task that can never be placed*",
+  },
+  {
+    name: "a call for advice that failed is made again",
+    file: "planner/adviser.js",
+    find: "clock.after(AVOID_MS, drain);",
+    replace: "",
+    test: "fleet/adviser.test.js",
+    match: "a call that failed everywhere*",
+  },
 ]
