--- a/src/planner/ledger.ts
+++ b/src/planner/ledger.ts
@@ -30,7 +30,7 @@
 const SUBMIT_UNKNOWN_MS: Milliseconds = 2600
 /** A further transaction is begun beside one that takes longer than this; a quick store gets larger ones instead. */
 const PARALLEL_AFTER_MS: Milliseconds = 25
-const MOST_PARALLEL = 4
+const MOST_PARALLEL = 12
 /** Progress that ends no job waits this long for more of its kind, since each transaction has its price. */
 const GATHER_MS: Milliseconds = 30
 
