--- a/src/cli/daemon.ts
+++ b/src/cli/daemon.ts
@@ -31,6 +31,8 @@
 /** Left of the grace period for the process to end by itself. */
 const EXIT_MARGIN_MS: Milliseconds = 800
 const DRAIN_POLL_MS: Milliseconds = 50
+/** Time for requests that were on their way when the listener closed. */
+const LAST_REQUESTS_MS: Milliseconds = 60
 /** A few connections to each worker carry a report that waits and orders beside it. */
 const WORKER_CONNECTIONS = 4
 const STORE_CONNECTIONS = 8
@@ -101,6 +103,11 @@
     const limit = settings.stopGrace - EXIT_MARGIN_MS
     while (clock.now() - begun < limit && (inHand > 0 || clock.now() - begun < READINESS_NOTICE_MS))
       await sleep(clock, DRAIN_POLL_MS)
+    // A request that comes in while the last connections close is still answered.
+    frontend.close()
+    frontend.closeIdleConnections()
+    await sleep(clock, LAST_REQUESTS_MS)
+    while (clock.now() - begun < limit && inHand > 0) await sleep(clock, DRAIN_POLL_MS)
     instance.stop()
     log.info({event: "stopped", inHand}, "the instance has stopped")
     destination.flushSync()
