Ends of a job that is not known yet wait until the store's work has been read again

Ends of unknown jobs are now noted only after the work in the store has been read twice, and jobs found there count as inherited. Test: "an end of a job that is stored and not known yet".

--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -144,6 +144,7 @@
     leaseLife: limits.leaseLife,
     linkOf: worker => pool.linkOf(worker),
     onChange: planSoon,
+    workReadAt: () => confirmedAt,
     onFenced(worker) {
       barrier.remove(worker)
       log.info({event: "worker-fenced", worker: worker.listing.id, term}, "a worker follows this leader")
@@ -249,7 +250,8 @@
       if (!meaning || value === undefined) continue
       if (meaning.type === "job") {
         const job = parseJob(value)
-        if (job) addJob(job)
+        // A former leader may have heard of the job and started its tasks.
+        if (job) addJob(job, FRESH, true)
       } else if (meaning.type === "cancel") void cancel(meaning.job)
     }
   }
--- a/src/planner/reports.ts
+++ b/src/planner/reports.ts
@@ -13,6 +13,9 @@
 import {assign, assignmentKey, findRun, release} from "./state.js"
 import type {WorkerLink} from "./workerlink.js"
 
+/** Two readings of the store's work, a second and the answer apart, find every job that was stored before. */
+const UNKNOWN_SETTLE_MS: Milliseconds = 2500
+
 /** Weight that an end keeps after the next one; about the last ten ends count. */
 const END_DECAY = 0.9
 
@@ -24,6 +27,8 @@
   readonly linkOf: (worker: WorkerState) => WorkerLink | undefined
   /** Room has become free or a step may begin. */
   readonly onChange: () => void
+  /** When the store's work was last read through. */
+  readonly workReadAt: () => Milliseconds
   /** A worker has answered for the first time in this term. */
   readonly onFenced: (worker: WorkerState) => void
 }
@@ -34,10 +39,29 @@
 }
 
 export function createReportReader(context: ReportContext): ReportReader {
-  const {clock, log, jobs, leaseLife, linkOf, onChange, onFenced} = context
+  const {clock, log, jobs, leaseLife, linkOf, onChange, onFenced, workReadAt} = context
   /** For each worker, settles when the ends handled so far are stored. */
   const storing = new Map<WorkerState, Promise<void>>()
 
+  /** For each job that is not known here, when a worker first told of it. */
+  const unknownSince = new Map<string, Milliseconds>()
+
+  /**
+   * True for a job that may be stored and not known here yet: a former leader may have been told of it by the
+   * instance that stored it. Its ends are not noted before the store's work has been read again.
+   */
+  function isUnsettled(ended: EndedTask): boolean {
+    const job = parseTask(ended.task)?.job
+    if (job === undefined) return false
+    if (jobs.stateOf(job) !== undefined) {
+      unknownSince.delete(job)
+      return false
+    }
+    const since = unknownSince.get(job) ?? clock.now()
+    unknownSince.set(job, since)
+    return workReadAt() < since + UNKNOWN_SETTLE_MS
+  }
+
   function drop(assignment: Assignment): void {
     release(assignment)
     jobs.dropIfOver(assignment.run.owner)
@@ -180,6 +204,7 @@
       let last = worker.handled
       for (const ended of report.ended) {
         if (ended.number <= worker.handled) continue
+        if (isUnsettled(ended)) break
         notes.push(takeEnd(worker, ended))
         last = Math.max(last, ended.number)
       }
--- a/test/fleet/reports.test.ts
+++ b/test/fleet/reports.test.ts
@@ -43,6 +43,7 @@
     leaseLife: LEASE_MS,
     linkOf: () => undefined,
     onChange: () => undefined,
+    workReadAt: () => clock.now(),
     onFenced: () => undefined,
   })
   const worker = createWorker(listingOf("worker-1"), true, clock.now())
@@ -114,11 +115,31 @@
   t.is(worker.noted, 1)
 })
 
+test("an end of a job that is stored and not known yet is not noted, and counts once the job is known", async t => {
+  const {clock, jobs, worker, report} = setUp()
+  const job = jobOf(6, [{count: 1}])
+  const gone = "00000000000000bb.0.0.0"
+  const ends = [done(1, `${job.id}.0.0.0`), done(2, gone)]
+  void report([], ends)
+  await clock.advance(500)
+  t.is(worker.noted, 0)
+  jobs.add(job, NO_PROGRESS, true)
+  void report([], ends)
+  await clock.advance(500)
+  t.is(jobs.stateOf(job.id), "completed")
+  t.is(worker.noted, 1, "the other job may yet be found")
+  await clock.advance(3000)
+  void report([], ends)
+  await clock.advance(100)
+  t.is(worker.noted, 2)
+})
+
 test("a worker that was born anew has lost its runs, and its ends are counted from one", async t => {
   const {clock, jobs, worker, report} = setUp()
   const job = jobOf(4, [{count: 2}])
   const active = jobs.add(job, NO_PROGRESS, false)
   await report([running(`${job.id}.0.0.0`)], [])
+  jobs.addEnded("00000000000000aa", "completed", clock.wallClock())
   void report([running(`${job.id}.0.0.0`)], [done(1, "00000000000000aa.0.0.0")])
   await clock.advance(100)
   t.is(worker.noted, 1)
