A worker entry with a value out of range names no worker

Cause: entries were believed if a few fields had the right type. A port of 99999, an amount of 1e300 or -5, or a birth of 1e999 (read as Infinity) became a worker. It got into the roster and held the barrier of its service; after a birth in the far future each later entry of that worker was taken for older, so that its draining was never seen.

Change: address, port, amounts, birth, data centre and labels are checked; text that is nested deeply is read as before. A birth that a worker reports by itself counts more than a later one in an entry. What is refused is logged once for each revision of a key and counted by its event.

--- a/src/planner/workerpool.ts
+++ b/src/planner/workerpool.ts
@@ -46,6 +46,8 @@
   const {clock, log, ledger, reader, open, onChange, mayRunInherited} = context
   const workers = new Map<string, WorkerState>()
   const links = new Map<WorkerState, WorkerLink>()
+  /** The revisions of present entries that name no worker, by key. */
+  const refusedEntries = new Map<string, number>()
   let isWritingRoster = false
   let hasRosterChanged = false
 
@@ -90,8 +92,9 @@
     }
     if (listing.leaving && !known.listing.leaving)
       log.info({event: "worker-leaving", worker: listing.id}, "worker is leaving and gets no new tasks")
-    // After a restart under the same name, an entry of the previous incarnation may still arrive.
-    if (listing.bornAt < known.listing.bornAt) return false
+    // After a restart under the same name, an entry of the previous incarnation may still arrive. What the worker
+    // itself reports counts more than a later birth that somebody else has written into its entry.
+    if (listing.bornAt < known.listing.bornAt && listing.bornAt !== known.incarnation) return false
     const hasMoved = listing.address !== known.listing.address
     known.listing = listing
     known.isListed = true
@@ -110,8 +113,20 @@
     return key.slice(reader.workerPrefix.length)
   }
 
-  function applyItem(key: string, value: string): boolean {
+  /** Logs an entry that names no worker, once for each revision of it. */
+  function refuseEntry(key: string, revision: number): void {
+    if (refusedEntries.get(key) === revision) return
+    refusedEntries.set(key, revision)
+    log.warn(
+      {event: "worker-entry-refused", key, revision},
+      "an entry among the workers cannot be read as one",
+    )
+  }
+
+  function applyItem({key, value, revision}: StoredItem): boolean {
     const listing = reader.decodeWorker(key, value)
+    if (listing) refusedEntries.delete(key)
+    else refuseEntry(key, revision)
     return listing ? applyListing(listing) : false
   }
 
@@ -132,16 +147,19 @@
     onList(items) {
       const listed = new Set(items.map(item => idOf(item.key)))
       let isRosterStale = false
-      for (const {key, value} of items) isRosterStale = applyItem(key, value) || isRosterStale
+      for (const item of items) isRosterStale = applyItem(item) || isRosterStale
+      for (const key of refusedEntries.keys()) if (!listed.has(idOf(key))) refusedEntries.delete(key)
       for (const id of workers.keys()) if (!listed.has(id)) unlist(id)
       if (isRosterStale) void writeRoster()
       onChange()
     },
     onChanges(changes) {
       let isRosterStale = false
-      for (const {key, value} of changes) {
-        if (value === undefined) unlist(idOf(key))
-        else isRosterStale = applyItem(key, value) || isRosterStale
+      for (const {key, value, revision} of changes) {
+        if (value === undefined) {
+          refusedEntries.delete(key)
+          unlist(idOf(key))
+        } else isRosterStale = applyItem({key, value, revision}) || isRosterStale
       }
       if (isRosterStale) void writeRoster()
       onChange()
--- a/src/platform/fleetreader.ts
+++ b/src/platform/fleetreader.ts
@@ -1,7 +1,10 @@
 /**
  * Decodes the worker entries and the operator's configuration in the platform's store. Text that
- * lacks a required field decodes to undefined; optional fields that are missing get defaults.
+ * lacks a required field decodes to undefined; optional fields that are missing get defaults. Others than the workers
+ * may write worker entries, so that their values are also checked for their range.
  */
+import {isIPv4} from "node:net"
+import type {Resources} from "../core/resources.js"
 import type {AdviceTerms, FleetConfiguration, Queue, Service, WorkerListing} from "../pipelines/model.js"
 import type {FleetReader} from "../pipelines/ports.js"
 import type {JsonObject} from "./wire.js"
@@ -17,26 +20,60 @@
   return labels.at(-1) ?? ""
 }
 
+const IP_ADDRESS_AND_PORT = /^([\d.]{7,15}):(\d{1,5})$/
+const HIGHEST_PORT = 65_535
+/** Above the capacity of any machine, and low enough that sums over a fleet stay exact. */
+const MAX_AMOUNT = 1e9
+/** The year 2100, in milliseconds since the Unix epoch. */
+const LATEST_BIRTH = Date.UTC(2100)
+
+function isAddress(text: string): boolean {
+  const [, host = "", port] = IP_ADDRESS_AND_PORT.exec(text) ?? []
+  return isIPv4(host) && Number(port) > 0 && Number(port) <= HIGHEST_PORT
+}
+
+function isAmount(value: unknown): boolean {
+  return value === undefined || (typeof value === "number" && value >= 0 && value <= MAX_AMOUNT)
+}
+
+function isBirth(value: unknown): value is number {
+  return typeof value === "number" && Number.isInteger(value) && value > 0 && value < LATEST_BIRTH
+}
+
+/** Reads the capacity of a worker. A worker without accelerators may leave out their number. */
+function readCapacity(value: unknown): Resources | undefined {
+  const fields = asObject(value)
+  if (fields.Cpu === undefined || fields.MemMb === undefined) return undefined
+  return isAmount(fields.Cpu) && isAmount(fields.MemMb) && isAmount(fields.Gpu)
+    ? readResources(fields)
+    : undefined
+}
+
+function isString(value: unknown): value is string {
+  return typeof value === "string"
+}
+
 function decodeWorker(key: string, value: string): WorkerListing | undefined {
   const fields = asObject(parseJson(value))
-  const state = fields.State
+  const id = key.slice(WORKER_PREFIX.length)
+  const {State: state, Zone: zone, Labels: labels, born} = fields
   const service = asString(fields.Service)
   const address = asString(fields.Address)
-  if ((state !== "ready" && state !== "draining") || service === "" || !address.includes(":"))
-    return undefined
-  if (typeof fields.born !== "number" || !Array.isArray(fields.Labels)) return undefined
-  const labels = asArray(fields.Labels).map(label => asString(label))
+  // Despite its name, the field holds the worker's total capacity, including resources in use.
+  const capacity = readCapacity(fields.FreeCapacity)
+  if (id === "" || (state !== "ready" && state !== "draining") || service === "") return undefined
+  if (!isAddress(address) || !capacity || !isBirth(born)) return undefined
+  if (!isString(zone) || !Array.isArray(labels) || !labels.every(isString)) return undefined
   return {
-    id: key.slice(WORKER_PREFIX.length),
+    id,
     service,
     address,
-    dataCentre: asString(fields.Zone),
+    dataCentre: zone,
     labels,
     rack: rackOf(labels),
-    // Despite its name, the field holds the worker's total capacity, including resources in use.
-    capacity: readResources(fields.FreeCapacity),
+    capacity,
     leaving: state === "draining",
-    bornAt: fields.born,
+    bornAt: born,
   }
 }
 
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -93,6 +93,39 @@
   for (const value of malformed) t.is(FLEET_READER.decodeWorker("servers/i-7f", value), undefined, value)
 })
 
+test("an entry with a value out of range names no worker", t => {
+  const nested = `${"[".repeat(100_000)}${"]".repeat(100_000)}`
+  const entries = [
+    ...[99_999, 65_536, 0, -1, 80.5, "abc", ""].map(port => ({...ENTRY, Address: `10.128.0.9:${port}`})),
+    ...[":80", ":80:80", "10.128.0.9", "10.128.0.999:80", "worker.example:80", "10.128.0.9:8080 "].map(
+      Address => ({...ENTRY, Address}),
+    ),
+    ...[-5, 1e300, Number.MAX_VALUE, "16000", null, [1]].flatMap(amount => [
+      {...ENTRY, FreeCapacity: {...ENTRY.FreeCapacity, Cpu: amount}},
+      {...ENTRY, FreeCapacity: {...ENTRY.FreeCapacity, MemMb: amount}},
+      {...ENTRY, FreeCapacity: {...ENTRY.FreeCapacity, Gpu: amount}},
+    ]),
+    ...[-1, 0, 0.5, 1e300, Number.MAX_SAFE_INTEGER, null].map(born => ({...ENTRY, born})),
+    ...[5, {}, []].map(Zone => ({...ENTRY, Zone})),
+    {...ENTRY, FreeCapacity: "much"},
+    {...ENTRY, Labels: ["a", 5]},
+    {...ENTRY, Labels: [["a"]]},
+  ].map(entry => JSON.stringify(entry))
+  const texts = [
+    ...entries,
+    nested,
+    JSON.stringify(ENTRY)
+      .replace('"Capacity":8', `"Capacity":${nested}`)
+      .replace('"born":', '"born":1e999,"b":'),
+    JSON.stringify(ENTRY).replace('"Cpu":16000', '"Cpu":1e999'),
+  ]
+  for (const text of texts)
+    t.is(FLEET_READER.decodeWorker("servers/i-7f", text), undefined, text.slice(0, 300))
+  t.is(FLEET_READER.decodeWorker("servers/", JSON.stringify(ENTRY)), undefined)
+  const valid = JSON.stringify(ENTRY).replace('"Capacity":8', `"Capacity":${nested}`)
+  t.is(FLEET_READER.decodeWorker("servers/i-7f", valid)?.address, ENTRY.Address)
+})
+
 test("a request belongs to the queue with the longest matching prefix", t => {
   const configuration = FLEET_READER.decodeConfiguration(JSON.stringify(CONFIGURATION))
   if (!configuration) throw new RangeError("The configuration cannot be read.")
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -89,10 +89,13 @@
   }
 }
 
+/** An entry among those of the workers that cannot be read as one. */
+export const ODD_ENTRY = "odd"
+
 export const READER: FleetReader = {
   workerPrefix: "workers/",
   configurationKey: "operator/configuration",
-  decodeWorker: (_key, value) => JSON.parse(value) as WorkerListing,
+  decodeWorker: (_key, value) => (value === ODD_ENTRY ? undefined : (JSON.parse(value) as WorkerListing)),
   decodeConfiguration: value => JSON.parse(value) as FleetConfiguration,
 }
 
