Pings carry the list of members only when it has changed, uncompressed

Change: a ping names the list that its sender has by a digest, and the answer has the list only if it differs; answers are not compressed; the dispatcher of advice sorts instances only when a call waits.

Result: failures.test has the case.

--- a/src/peer/connection.ts
+++ b/src/peer/connection.ts
@@ -119,6 +119,12 @@
     createConnection: () => openSocket(host, port, tlsFiles),
   })
   const session = peerSession(manager)
-  const transport = createConnectTransport({baseUrl, httpVersion: "2", sessionManager: session})
+  const transport = createConnectTransport({
+    baseUrl,
+    httpVersion: "2",
+    sessionManager: session,
+    // Answers are short, and compressing those of many followers would be a large share of a leader's work.
+    acceptCompression: [],
+  })
   return {transport, session}
 }
--- a/src/peer/fleet.ts
+++ b/src/peer/fleet.ts
@@ -42,6 +42,8 @@
   readonly followedTerm: number
   /** `clockMs` of the latest answer that the sender has from this leader; 0 before the first one. */
   readonly leaderClockMs: Milliseconds
+  /** The digest of the list of members that the sender has; 0 if it has none. */
+  readonly membersDigest: number
 }
 
 export interface PingAnswer {
@@ -55,7 +57,10 @@
   readonly configurationVersion: number
   /** How long ago the instance last knew that no newer version exists. */
   readonly configurationAgeMs: Milliseconds
-  readonly members: readonly Member[]
+  /** The leader's list of members; undefined if the pinging instance has it already, and at other instances. */
+  readonly members: readonly Member[] | undefined
+  /** The digest of the leader's list of members; 0 at other instances. */
+  readonly membersDigest: number
   /** The counts of the instance as the leader; undefined when it has none. */
   readonly queues: CountedLoads | undefined
   /** How long the leader has come no further in reading its work; 0 once it has read it, or if it does not lead. */
@@ -173,6 +178,8 @@
         const {queues: loads, queuesAgeMs: age} = reply
         return {
           ...reply,
+          // A leader's list has at least the leader.
+          members: reply.members.length > 0 ? reply.members : undefined,
           leader: reply.leader && reply.leader.name !== "" ? reply.leader : undefined,
           queues: age === undefined ? undefined : {loads, age},
         }
@@ -233,7 +240,7 @@
           storeFailingMs: Math.ceil(answer.storeFailingMs),
           loadingMs: Math.ceil(answer.loadingMs),
           configurationAgeMs: Math.ceil(answer.configurationAgeMs),
-          members: [...answer.members],
+          members: [...(answer.members ?? [])],
           queues: (answer.queues?.loads ?? []).map(queue => ({
             ...queue,
             retryAfterMs: Math.round(queue.retryAfterMs),
--- a/src/peer/server.ts
+++ b/src/peer/server.ts
@@ -23,7 +23,7 @@
 export type PeerRoutes = (router: ConnectRouter) => void
 
 function createListener(routes: PeerRoutes, tls: PeerTls | undefined): Http2Server | Http2SecureServer {
-  const handler = connectNodeAdapter({routes})
+  const handler = connectNodeAdapter({routes, acceptCompression: []})
   if (!tls) return createServer(handler)
   const files = {
     cert: readFileSync(tls.certificate),
--- a/src/planner/advicedispatcher.ts
+++ b/src/planner/advicedispatcher.ts
@@ -61,12 +61,12 @@
   const isLongCallByInstance = new Map<string, boolean>()
   const avoidedUntil = new Map<string, Milliseconds>()
 
-  /** Instances without a call in flight that are not avoided, the most powerful first. */
+  /** Instances without a call in flight that are not avoided. */
   function findAvailable(): readonly AdviceRequester[] {
     const now = clock.now()
-    return listRequesters()
-      .filter(({name}) => !isLongCallByInstance.has(name) && (avoidedUntil.get(name) ?? 0) <= now)
-      .sort((one, other) => other.processors - one.processors)
+    return listRequesters().filter(
+      ({name}) => !isLongCallByInstance.has(name) && (avoidedUntil.get(name) ?? 0) <= now,
+    )
   }
 
   /** Removes the most urgent request from the queue; the oldest of equal ones. */
@@ -121,7 +121,8 @@
    * instances and long calls to the least powerful ones.
    */
   function dispatch(): void {
-    const free = [...findAvailable()]
+    if (queue.length === 0) return
+    const free = [...findAvailable()].sort((one, other) => other.processors - one.processors)
     while (free.length > 0) {
       const request = takeNextWanted()
       if (!request) return
--- a/src/planner/instance.ts
+++ b/src/planner/instance.ts
@@ -176,12 +176,13 @@
     return leaderLoads && clock.now() - leaderLoads.at < MAX_LOADS_AGE_MS ? leaderLoads.loads : undefined
   }
 
-  function answerPing({sender, ledTerm, followedTerm, leaderClockMs}: Ping): PingAnswer {
+  function answerPing({sender, ledTerm, followedTerm, leaderClockMs, membersDigest}: Ping): PingAnswer {
     // An instance that announces its own lead does not follow this one.
     if (ledTerm > 0) leadership.recordAnnouncement(ledTerm, sender)
     else leadership.recordMember(sender)
     if (followedTerm === planner?.term) planner.recordFollower(sender.name, leaderClockMs)
     const view = leadership.leader()
+    const list = leadership.isLeader() ? leadership.listForFollowers() : undefined
     return {
       leads: leadership.isLeader() && planner !== undefined,
       term: view?.term ?? 0,
@@ -190,7 +191,8 @@
       storeFailingMs: Math.min(storeHealth.failingFor(), 1e6),
       configurationVersion: configuration.current()?.version ?? 0,
       configurationAgeMs: Math.min(updater.age(), 1e6),
-      members: leadership.members(),
+      members: list?.digest === membersDigest ? undefined : list?.members,
+      membersDigest: list?.digest ?? 0,
       queues: planner?.loads(),
       loadingMs: planner?.loadingFor() ?? 0,
       clockMs: clock.now(),
--- a/src/planner/leadership.ts
+++ b/src/planner/leadership.ts
@@ -55,6 +55,8 @@
   /** Records that the sender says that it leads in the given term. */
   readonly recordAnnouncement: (term: number, sender: Member) => void
   readonly members: () => readonly Member[]
+  /** On the leader: the members with the digest by which followers tell whether they have this list. */
+  readonly listForFollowers: () => {readonly members: readonly Member[]; readonly digest: number}
   /** Records the sender of a ping that announces no lead. */
   readonly recordMember: (member: Member) => void
   /** Gives up leadership after a worker or the store refused this instance because of a later leader. */
@@ -249,7 +251,8 @@
 
   function describePing(): Ping {
     const followedTerm = isLeading ? 0 : (currentLeader?.term ?? 0)
-    return {sender: self, ledTerm: 0, followedTerm, leaderClockMs}
+    const membersDigest = members.announcedDigest()
+    return {sender: self, ledTerm: 0, followedTerm, leaderClockMs, membersDigest}
   }
 
   /** Pings other instances, and follows a later leader if one of them names it. */
@@ -350,7 +353,7 @@
     leaderHeardAt = leaderAnsweredAt
     if (reply.term === view.term) leaderClockMs = reply.clockMs
     roundTrips = observeAnswer(roundTrips, leaderAnsweredAt - sentAt)
-    members.announce(reply.members)
+    if (reply.members) members.announce(reply.members, reply.membersDigest)
     ports.onLeaderAnswer(reply, sentAt)
     if (reply.term !== view.term || ports.isStoreFailing()) return
     if (reply.storeFailingMs > STORE_CUT_OFF_MS)
@@ -395,7 +398,7 @@
   async function announceTo(address: string): Promise<void> {
     const view = currentLeader
     if (!view) return
-    const ping = {sender: self, ledTerm: view.term, followedTerm: 0, leaderClockMs: 0}
+    const ping = {sender: self, ledTerm: view.term, followedTerm: 0, leaderClockMs: 0, membersDigest: 0}
     const answer = await clients.reach(address).ping(ping, ANNOUNCEMENT_TIMEOUT_MS)
     if (answer.isErr() || isStopped || !isLeading || currentLeader !== view) return
     const {term, leader} = answer.value
@@ -438,6 +441,7 @@
       if (currentLeader?.term === term) leaderHeardAt = clock.now()
     },
     members: currentMembers,
+    listForFollowers: members.listForFollowers,
     recordMember: members.recordPing,
     stepDown() {
       isLeading = false
--- a/src/planner/members.ts
+++ b/src/planner/members.ts
@@ -3,6 +3,7 @@
  * its answers; a follower uses the list that the leader last sent.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
+import {hash32} from "../core/hash.js"
 import type {Member} from "../peer/fleet.js"
 
 export interface Members {
@@ -14,7 +15,11 @@
   /** The members that the leader last sent. */
   readonly announced: () => readonly Member[]
   /** Stores the members that the leader has sent. */
-  readonly announce: (members: readonly Member[]) => void
+  readonly announce: (members: readonly Member[], digest: number) => void
+  /** The digest of the list that the leader last sent; 0 before the first one. */
+  readonly announcedDigest: () => number
+  /** On the leader: the present list with its digest. */
+  readonly listForFollowers: () => {readonly members: readonly Member[]; readonly digest: number}
   /** On the leader: records a ping of a follower. */
   readonly recordPing: (member: Member) => void
   /** Called when this instance takes over; no follower has pinged it yet. */
@@ -27,12 +32,17 @@
 
 /** A member that has not pinged the leader for this long is left out. Members of a large fleet ping every 0.6 s. */
 const MEMBER_TIMEOUT_MS: Milliseconds = 1500
+/** How long the leader uses a list and its digest before it makes them anew, since a large fleet pings often. */
+const LIST_LIFE_MS: Milliseconds = 100
 /** Several, so that some of them are up while others restart. */
 const WITNESSES = 5
 
 export function createMembers(clock: Clock, self: Member, seeds: readonly string[]): Members {
   const seen = new Map<string, {readonly member: Member; readonly at: Milliseconds}>()
   let announced: readonly Member[] = []
+  let announcedDigest = 0
+  let listed: {readonly members: readonly Member[]; readonly digest: number} | undefined
+  let listedAt = -Infinity
 
   function recentMembers(): readonly Member[] {
     const now = clock.now()
@@ -43,16 +53,35 @@
     return isLeader ? recentMembers().concat(self) : announced
   }
 
+  function listForFollowers(): {readonly members: readonly Member[]; readonly digest: number} {
+    if (listed && clock.now() - listedAt < LIST_LIFE_MS) return listed
+    const members = currentMembers(true)
+    const text = members
+      .map(({name, address, processors}) => `${name} ${address} ${processors}`)
+      .sort()
+      .join()
+    // 0 means that an instance has no list.
+    listed = {members, digest: Math.max(1, hash32(text))}
+    listedAt = clock.now()
+    return listed
+  }
+
   return {
     current: currentMembers,
     announced: () => announced,
-    announce(members) {
+    announce(members, digest) {
       announced = members
+      announcedDigest = digest
     },
+    announcedDigest: () => announcedDigest,
+    listForFollowers,
     recordPing(member) {
       if (member.name !== "" && member.name !== self.name) seen.set(member.name, {member, at: clock.now()})
     },
-    startTerm: () => seen.clear(),
+    startTerm() {
+      seen.clear()
+      listed = undefined
+    },
     addresses() {
       const addresses = new Set<string>([...seeds, ...announced.map(({address}) => address)])
       addresses.delete(self.address)
--- a/test/fleet/failures.test.ts
+++ b/test/fleet/failures.test.ts
@@ -215,7 +215,8 @@
 }
 
 function pingOf(name: string, followedTerm: number, leaderClockMs: number): Ping {
-  return {sender: {name, address: `${name}:7000`, processors: 1}, ledTerm: 0, followedTerm, leaderClockMs}
+  const sender = {name, address: `${name}:7000`, processors: 1}
+  return {sender, ledTerm: 0, followedTerm, leaderClockMs, membersDigest: 0}
 }
 
 /**
@@ -615,7 +616,7 @@
   await fleet.clock.advance(1000)
   const leader = fleet.instance(fleet.leader() ?? "")
   const former = {name: "entry-9", address: "entry-9:7000", processors: 1}
-  const ping = {sender: former, followedTerm: 0, leaderClockMs: 0}
+  const ping = {sender: former, followedTerm: 0, leaderClockMs: 0, membersDigest: 0}
   leader.handlers.ping({...ping, ledTerm: 1})
   t.is(leader.counts().members, 3)
   leader.handlers.ping({...ping, ledTerm: 0})
@@ -735,3 +736,22 @@
   await fleet.clock.advance(700)
   t.is(fleet.leader(), "entry-3")
 })
+
+test("a follower is sent the list of members only when it has changed", async t => {
+  const fleet = testFleet({instances: 4})
+  await fleet.clock.advance(2000)
+  const leader = fleet.instance(fleet.leader() ?? "")
+  const pingWith = (name: string, membersDigest: number) =>
+    leader.handlers.ping({...pingOf(name, 0, 0), membersDigest})
+  const first = pingWith("entry-8", 0)
+  t.is(first.members?.length, 5)
+  t.is(pingWith("entry-8", first.membersDigest).members, undefined)
+  await fleet.clock.advance(200)
+  const second = pingWith("entry-9", first.membersDigest)
+  t.is(second.members?.length, 6)
+  await fleet.clock.advance(200)
+  t.is(pingWith("entry-8", second.membersDigest).members, undefined)
+  const follower = fleet.names().find(name => name !== fleet.leader()) ?? ""
+  t.is(fleet.instance(follower).counts().members, 6)
+  t.is(fleet.instance(follower).handlers.ping(pingOf("entry-9", 0, 0)).members, undefined)
+})
--- a/test/fleet/leadership.test.ts
+++ b/test/fleet/leadership.test.ts
@@ -63,6 +63,7 @@
       configurationVersion: 0,
       configurationAgeMs: 0,
       members: [],
+      membersDigest: 0,
       queues: undefined,
       loadingMs: 0,
       clockMs: 1,
