Other instances carry the leader's calls to workers in a large fleet

Change: in a fleet of more than 64 workers the leader sends its calls in batches over a channel to each of a few relays, strong instances that make the calls unchanged and return the answers in batches. What is decided, leases, attempts and acknowledgements, stays with the leader. A relay that shows no sign of life for 0.7 s is given up; its calls count as without an answer. A relay makes no calls of a leader once it knows of a later one, and none that came while its process was stopped. Ends are acknowledged only through the instance that read them.

--- a/src/peer/fleet.ts
+++ b/src/peer/fleet.ts
@@ -11,6 +11,9 @@
 import type {PeerConnection, PeerTls} from "./connection.js"
 import {openPeerConnection} from "./connection.js"
 import {Fleet, StoreOutcome} from "./generated/fleet_pb.js"
+import {Relay} from "./generated/relay_pb.js"
+import {openRelayChannel, relayService} from "./relay.js"
+import type {AcceptChannel, ChannelListener, RelayChannel} from "../relay/channel.js"
 
 export interface Member {
   readonly name: string
@@ -97,6 +100,8 @@
   readonly takeOver: (term: number) => boolean
   /** The configuration in force as its text in the store; empty if there is none. */
   readonly configuration: () => string
+  /** Accepts a channel over which a leader sends its calls to workers. */
+  readonly acceptChannel: AcceptChannel
 }
 
 /**
@@ -122,6 +127,8 @@
   ) => Promise<Result<readonly PermitRow[] | undefined, CallFailed>>
   readonly takeOver: (term: number, timeout: Milliseconds) => Promise<Result<boolean, CallFailed>>
   readonly configuration: (timeout: Milliseconds) => Promise<Result<string, CallFailed>>
+  /** Opens a channel over which the instance carries calls of this term to workers. */
+  readonly openChannel: (term: number, listener: ChannelListener) => RelayChannel
 }
 
 export interface FleetClients {
@@ -203,6 +210,7 @@
       }),
     takeOver: (term, timeoutMs) => runCall(async () => (await client.takeOver({term}, {timeoutMs})).accepted),
     configuration: timeoutMs => runCall(async () => (await client.configuration({}, {timeoutMs})).value),
+    openChannel: (term, listener) => openRelayChannel(connection.transport, term, listener),
   }
 }
 
@@ -263,5 +271,6 @@
       takeOver: ({term}) => ({accepted: handlers.takeOver(term)}),
       configuration: () => ({value: handlers.configuration()}),
     })
+    router.service(Relay, relayService(handlers.acceptChannel))
   }
 }
--- a/src/planner/instance.ts
+++ b/src/planner/instance.ts
@@ -15,6 +15,7 @@
 import {createConfigurationUpdater} from "./configurationupdater.js"
 import {createIntake} from "./intake.js"
 import type {Intake} from "./intake.js"
+import {createCarrier} from "../relay/carrier.js"
 import {createLeadership} from "./leadership.js"
 import type {Leadership} from "./leadership.js"
 import {createPlanner} from "./planner.js"
@@ -128,6 +129,8 @@
         self: identity.member.name,
         confirmedAt,
         adviceRequesters: askers,
+        openChannel: ({address}, forTerm, listener) => clients.reach(address).openChannel(forTerm, listener),
+        otherMembers: leadership.others,
         configuration: configuration.current,
         onSuperseded() {
           if (planner !== created) return
@@ -199,6 +202,13 @@
     }
   }
 
+  const carrier = createCarrier({
+    clock,
+    log,
+    workers: ports.workers,
+    knownTerm: () => leadership.leader()?.term ?? 0,
+  })
+
   const handlers: FleetHandlers = {
     ping: answerPing,
     storeJob: async (record, alreadyStored) => planner?.storeJob(record, alreadyStored) ?? "not-leader",
@@ -207,6 +217,7 @@
     ask,
     takeOver: term => leadership.takeOver(term),
     configuration: configuration.text,
+    acceptChannel: carrier.accept,
   }
 
   const intake = createIntake({
@@ -240,6 +251,7 @@
     },
     async drain() {
       isDraining = true
+      carrier.drain()
       await leadership.handOver()
     },
     stop() {
@@ -247,6 +259,7 @@
       updater.stop()
       leadership.stop()
       planner?.close()
+      carrier.stop()
     },
   }
 }
--- a/src/planner/leadership.ts
+++ b/src/planner/leadership.ts
@@ -55,6 +55,8 @@
   /** Records that the sender says that it leads in the given term. */
   readonly recordAnnouncement: (term: number, sender: Member) => void
   readonly members: () => readonly Member[]
+  /** On the leader: the other instances that are up, as far as it knows. */
+  readonly others: () => readonly Member[]
   /** On the leader: the members with the digest by which followers tell whether they have this list. */
   readonly listForFollowers: () => {readonly members: readonly Member[]; readonly digest: number}
   /** Records the sender of a ping that announces no lead. */
@@ -441,6 +443,7 @@
       if (currentLeader?.term === term) leaderHeardAt = clock.now()
     },
     members: currentMembers,
+    others: () => members.others(clock.now() - leadingSince < NEW_LEADER_PERIOD_MS),
     listForFollowers: members.listForFollowers,
     recordMember: members.recordPing,
     stepDown() {
--- a/src/planner/members.ts
+++ b/src/planner/members.ts
@@ -14,6 +14,11 @@
   readonly current: (isLeader: boolean) => readonly Member[]
   /** The members that the leader last sent. */
   readonly announced: () => readonly Member[]
+  /**
+   * On the leader: the other instances that are up. At the beginning of a term few have pinged, and those that the
+   * former leader listed count too.
+   */
+  readonly others: (isNewTerm: boolean) => readonly Member[]
   /** Stores the members that the leader has sent. */
   readonly announce: (members: readonly Member[], digest: number) => void
   /** The digest of the list that the leader last sent; 0 before the first one. */
@@ -69,6 +74,12 @@
   return {
     current: currentMembers,
     announced: () => announced,
+    others(isNewTerm) {
+      const recent = recentMembers()
+      if (!isNewTerm) return recent
+      const names = new Set([self.name, ...recent.map(({name}) => name)])
+      return recent.concat(announced.filter(({name}) => !names.has(name)))
+    },
     announce(members, digest) {
       announced = members
       announcedDigest = digest
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -7,7 +7,9 @@
 import type {Logger} from "../core/logger.js"
 import type {FleetConfiguration, PipelineJob, Queue} from "../pipelines/model.js"
 import type {FleetReader, KeyChange, KeyValueStore, StoredItem, WorkerCalls} from "../pipelines/ports.js"
-import type {CancelAnswer, CountedLoads, StoreAnswer} from "../peer/fleet.js"
+import type {CancelAnswer, CountedLoads, Member, StoreAnswer} from "../peer/fleet.js"
+import type {OpenChannel} from "../relay/channel.js"
+import {createRelayDispatcher} from "../relay/dispatcher.js"
 import type {AdviceRequester} from "./advicedispatcher.js"
 import {createAdviceDispatcher} from "./advicedispatcher.js"
 import {createBarrier, unconfirmedLimit} from "./barrier.js"
@@ -46,6 +48,9 @@
   readonly store: KeyValueStore
   readonly reader: FleetReader
   readonly workers: WorkerCalls
+  readonly openChannel: OpenChannel
+  /** Other instances that are up, which can carry calls to workers. */
+  readonly otherMembers: () => readonly Member[]
   /** Instances that can call the advice service, including this one. */
   readonly adviceRequesters: () => readonly AdviceRequester[]
   readonly configuration: () => FleetConfiguration | undefined
@@ -152,6 +157,18 @@
     onNotSent: assignment => starter.handleNotSent(assignment),
   }
 
+  /** The number of worker entries when the term began. */
+  let initialEntries = 0
+  const relays = createRelayDispatcher({
+    clock,
+    log,
+    term,
+    direct: ports.workers,
+    open: ports.openChannel,
+    candidates: ports.otherMembers,
+    countWorkers: () => Math.max(pool.workers.size, initialEntries),
+  })
+
   const pool = createWorkerPool({
     clock,
     log,
@@ -164,7 +181,7 @@
         term,
         clock,
         log,
-        calls: ports.workers,
+        calls: relays.calls,
         leaseDuration: limits.leaseDuration,
         mayAct,
         events,
@@ -294,7 +311,9 @@
 
   function sweep(dueAt: Milliseconds): void {
     if (isClosed) return
-    leaderLoad.recordTimerDelay(clock.now() - dueAt)
+    const delay = clock.now() - dueAt
+    leaderLoad.recordTimerDelay(delay)
+    relays.check(delay)
     leaderLoad.summarize(describeBacklog)
     pool.sweep()
     barrier.check()
@@ -395,8 +414,11 @@
       return false
     }
     confirmedAt = Math.max(confirmedAt, loadStartedAt)
+    initialEntries = listed.value.items.length
+    relays.check(0)
     applyInitialWork(work.value.items)
     pool.onList(listed.value.items)
+    initialEntries = 0
     for (const worker of pool.workers.values()) if (!worker.isFenced) barrier.add(worker)
     isLoaded = true
     const hasClosed = (): boolean => isClosed
@@ -454,6 +476,7 @@
   function close(): void {
     isClosed = true
     pool.close()
+    relays.close()
     ledger.close()
   }
 
@@ -485,6 +508,7 @@
       workers: pool.workers.size,
       usable: [...pool.workers.values()].filter(worker => isUsable(worker, clock.now())).length,
       starts: starter.countStarts(),
+      relays: relays.countRelays(),
       passes,
       commits: ledger.commitCount(),
       ...leaderLoad.gauges(),
--- a/test/fleet/connections.test.ts
+++ b/test/fleet/connections.test.ts
@@ -34,6 +34,7 @@
   ask: () => Promise.resolve(undefined),
   takeOver: () => false,
   configuration: () => "",
+  acceptChannel: () => ({receive: () => undefined, onClosed: () => undefined}),
 }
 
 /**
--- a/test/support/fakeworkers.ts
+++ b/test/support/fakeworkers.ts
@@ -68,6 +68,8 @@
   /** Number of started attempts for each task, over all workers. */
   readonly startCounts: () => ReadonlyMap<string, number>
   readonly doneTasks: () => ReadonlySet<string>
+  /** Number of report calls by each caller. */
+  readonly reportCounts: () => ReadonlyMap<string, number>
   readonly running: () => readonly string[]
   /** The tasks on each worker that is up. */
   readonly runningByWorker: () => ReadonlyMap<string, readonly string[]>
@@ -88,6 +90,7 @@
   const violations: string[] = []
   const startCounts = new Map<string, number>()
   const doneTasks = new Set<string>()
+  const reportCounts = new Map<string, number>()
   /** Tasks whose success was acknowledged, with the worker, the number of the end and the term of the leader. */
   const acknowledgedEnds = new Map<string, string>()
   let delayedShare = 0
@@ -241,6 +244,7 @@
 
     return {
       async report(target, request) {
+        reportCounts.set(caller, (reportCounts.get(caller) ?? 0) + 1)
         const until = clock.now() + request.wait
         // A call that waits fails when the worker's incarnation ends.
         let incarnation: number | undefined
@@ -358,6 +362,7 @@
     violations: () => violations,
     startCounts: () => startCounts,
     doneTasks: () => doneTasks,
+    reportCounts: () => reportCounts,
     running: () => [...workers.values()].flatMap(worker => [...worker.runs.keys()]),
     runningByWorker: () =>
       new Map(
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -16,6 +16,7 @@
 import type {AdviceCalls, FleetReader} from "../../src/pipelines/ports.js"
 import {createFleetInstance} from "../../src/planner/instance.js"
 import type {FleetInstance} from "../../src/planner/instance.js"
+import {channelNetwork} from "./channels.js"
 import {fakeStore} from "./fakestore.js"
 import type {FakeStore} from "./fakestore.js"
 import {fakeWorkers} from "./fakeworkers.js"
@@ -136,6 +137,9 @@
   /** Drops all calls between the two instances, in both directions. */
   readonly partition: (one: string, other: string) => void
   readonly healPartitions: () => void
+  /** Keeps the calls and answers that the instance carries as a relay, as if its process was stopped. */
+  readonly pauseRelay: (name: string) => void
+  readonly resumeRelay: (name: string) => void
   /** Delays the answers of the current leader, whichever instance it is. */
   readonly delayLeader: (delay: Milliseconds) => void
   /** Lets calls of the instance to the advice service time out. */
@@ -186,6 +190,8 @@
     return partitions.has(`${one} ${other}`) || partitions.has(`${other} ${one}`)
   }
 
+  const channels = channelNetwork(clock, PEER_LATENCY_MS, isPartitioned)
+
   function logOf(instance: string): Logger {
     const write = (fields: object): void => {
       const {event, ...rest} = fields as {readonly event: string}
@@ -231,6 +237,8 @@
         },
         takeOver: (term, timeout) => call(handlers => handlers.takeOver(term), timeout),
         configuration: timeout => call(handlers => handlers.configuration(), timeout),
+        openChannel: (term, listener) =>
+          channels.open({caller, name}, () => running.get(name)?.handlers.acceptChannel, term, listener),
       }
     }
     return {reach, close: () => undefined}
@@ -336,10 +344,13 @@
       instance(name).stop()
       deaths.get(instance(name))?.happen()
       running.delete(name)
+      channels.endAll(name)
     },
     start,
     partition: (one, other) => void partitions.add(`${one} ${other}`),
     healPartitions: () => partitions.clear(),
+    pauseRelay: channels.pause,
+    resumeRelay: channels.resume,
     delayLeader(delay) {
       leaderDelay = delay
     },
