A leader gives a relay up after two silent checks

Cause, by reading: the first check of a term follows the synchronous work of loading it, so that signs of life wait unread and channels that were just opened would be closed, and their workers called by the cold leader itself.

Change: a channel is closed when two checks in a row find it silent; between them the leader has read its sockets. The limit is 0.6 s in place of 0.7 s.

Result: relaydispatcher.test has this, the certainty of calls to a relay that has gone, and acknowledgements through another instance; relays.test passes.

--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -311,9 +311,8 @@
 
   function sweep(dueAt: Milliseconds): void {
     if (isClosed) return
-    const delay = clock.now() - dueAt
-    leaderLoad.recordTimerDelay(delay)
-    relays.check(delay)
+    leaderLoad.recordTimerDelay(clock.now() - dueAt)
+    relays.check()
     leaderLoad.summarize(describeBacklog)
     pool.sweep()
     barrier.check()
@@ -415,7 +414,7 @@
     }
     confirmedAt = Math.max(confirmedAt, loadStartedAt)
     initialEntries = listed.value.items.length
-    relays.check(0)
+    relays.check()
     applyInitialWork(work.value.items)
     pool.onList(listed.value.items)
     initialEntries = 0
--- a/src/relay/carrier.ts
+++ b/src/relay/carrier.ts
@@ -21,8 +21,8 @@
 const BATCH_MS: Milliseconds = 8
 /** A relay without answers shows this often that it is alive. */
 const SIGN_OF_LIFE_MS: Milliseconds = 200
-/** How long a leader waits for a sign of life. */
-export const SILENCE_TIMEOUT_MS: Milliseconds = 700
+/** How long a leader waits for a sign of life before it suspects the relay. */
+export const SILENCE_TIMEOUT_MS: Milliseconds = 600
 
 export interface Carrier {
   readonly accept: AcceptChannel
--- a/src/relay/dispatcher.ts
+++ b/src/relay/dispatcher.ts
@@ -31,8 +31,6 @@
 const BATCH_MS: Milliseconds = 4
 /** A relay whose first sign of life takes longer is not used. Calls to its workers wait for that long. */
 const OPENING_TIMEOUT_MS: Milliseconds = 400
-/** A check that runs later than this shows that the leader was busy and has not read what relays sent meanwhile. */
-const BUSY_DELAY_MS: Milliseconds = 100
 /** How long an instance is not tried again after its channel has closed. */
 const AVOID_AFTER_CLOSE_MS: Milliseconds = 2000
 
@@ -53,8 +51,8 @@
 
 export interface RelayDispatcher {
   readonly calls: WorkerCalls
-  /** Opens missing channels and closes silent ones. Called at a fixed interval with the delay of the timer. */
-  readonly check: (timerDelay: Milliseconds) => void
+  /** Opens missing channels and closes silent ones. Called at a fixed interval. */
+  readonly check: () => void
   readonly countRelays: () => number
   readonly close: () => void
 }
@@ -68,6 +66,8 @@
   readonly pending: Map<number, (result: RelayedResult) => void>
   isFlushScheduled: boolean
   heardAt: Milliseconds
+  /** The last check found the relay silent for too long. */
+  isSuspected: boolean
 }
 
 /** Through whom a worker's last report came, and when it was requested, on the clock of that instance. */
@@ -123,6 +123,7 @@
   function handleBatch(session: Session, {answers, isLeaving}: AnswerBatch): void {
     if (session.state === "closed") return
     session.heardAt = clock.now()
+    session.isSuspected = false
     if (session.state === "opening") {
       session.state = "open"
       log.info(
@@ -153,6 +154,7 @@
       pending: new Map(),
       isFlushScheduled: false,
       heardAt: clock.now(),
+      isSuspected: false,
     }
     sessions.set(member.name, session)
     routes.clear()
@@ -243,11 +245,14 @@
     },
   }
 
+  /** Closes channels that two checks have found silent: a busy leader reads what relays have sent in between. */
   function closeSilentSessions(): void {
     const now = clock.now()
     for (const session of [...sessions.values()]) {
       const limit = session.state === "opening" ? OPENING_TIMEOUT_MS : SILENCE_TIMEOUT_MS
-      if (now - session.heardAt > limit) closeSession(session, `no sign of life for ${limit} ms`)
+      if (now - session.heardAt < limit) continue
+      if (session.isSuspected) closeSession(session, `no sign of life for ${limit} ms`)
+      else session.isSuspected = true
     }
   }
 
@@ -263,9 +268,9 @@
 
   return {
     calls,
-    check(timerDelay) {
+    check() {
       if (isClosed) return
-      if (timerDelay < BUSY_DELAY_MS) closeSilentSessions()
+      closeSilentSessions()
       openMissingSessions()
     },
     countRelays: () => usableNames().length,
