--- a/spec/defects.ts
+++ b/spec/defects.ts
@@ -2,7 +2,7 @@
 
 export interface Defect {
   readonly name: string
-  readonly specification: "holder" | "tasks"
+  readonly specification: "holder" | "tasks" | "relays"
   readonly find: string
   readonly replace: string
   /** The invariant that must fail. */
@@ -123,4 +123,18 @@
     replace: "true,",
     invariant: "startedOnce",
   },
+  {
+    name: "a relay acknowledges ends that another one has read",
+    specification: "relays",
+    find: "val isSameRelay = lastRelay == relay",
+    replace: "val isSameRelay = true",
+    invariant: "noEndIsLost",
+  },
+  {
+    name: "ends are acknowledged over a connection that is younger than the last report",
+    specification: "relays",
+    find: "val isOlder = openedAt < lastReportAt",
+    replace: "val isOlder = true",
+    invariant: "noEndIsLost",
+  },
 ]
--- a/spec/run.ts
+++ b/spec/run.ts
@@ -8,7 +8,7 @@
 import type {Defect} from "./defects.js"
 
 interface Specification {
-  readonly name: "holder" | "tasks"
+  readonly name: "holder" | "tasks" | "relays"
   readonly invariants: readonly string[]
   readonly witnesses: readonly string[]
   readonly samples: number
@@ -36,6 +36,13 @@
     samples: 3000,
     steps: 50,
   },
+  {
+    name: "relays",
+    invariants: ["noEndIsLost"],
+    witnesses: ["forgetsThroughBoth"],
+    samples: 3000,
+    steps: 40,
+  },
 ]
 
 const SEEDS: readonly string[] = ["1", "2"]
