--- a/test/fleet/workerentries.test.ts
+++ b/test/fleet/workerentries.test.ts
@@ -39,3 +39,22 @@
     [],
   )
 })
+
+test("after all instances restarted, a worker that had left or was leaving gets no tasks", async t => {
+  const fleet = testFleet({workers: 3})
+  await fleet.clock.advance(1000)
+  fleet.register(listingOf("worker-1", {leaving: true}))
+  fleet.unregister("worker-2")
+  await fleet.clock.advance(1000)
+  for (const name of ["entry-1", "entry-2", "entry-3"]) {
+    fleet.kill(name)
+    fleet.start(name)
+  }
+  await fleet.clock.advance(1500)
+  const job = jobOf(1, [{count: 12}])
+  t.is((await fleet.submit("entry-1", job)).type, "stored")
+  await fleet.clock.advance(5000)
+  t.is(await fleet.stateAt("entry-1", job), "completed")
+  const starts = fleet.logLines.filter(({event}) => event === "start")
+  t.deepEqual(new Set(starts.map(({fields}) => fields.worker)), new Set(["worker-3"]))
+})
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -126,6 +126,17 @@
   t.is(FLEET_READER.decodeWorker("servers/i-7f", valid)?.address, ENTRY.Address)
 })
 
+test("input that is nested deeply, or has numbers out of range, is refused and never throws", t => {
+  const nested = `${"[".repeat(100_000)}${"]".repeat(100_000)}`
+  const deepStep = JSON.stringify(JOB).replace('"Cpu":500', `"Cpu":${nested}`)
+  t.true(readJobRequest(deepStep, IDENTITY).isErr())
+  t.true(readJobRequest(nested, IDENTITY).isErr())
+  t.true(readJobRequest(JSON.stringify(JOB).replace('"Count":4', '"Count":1e999'), IDENTITY).isErr())
+  t.is(FLEET_READER.decodeConfiguration(nested), undefined)
+  const deepRoute = JSON.stringify(CONFIGURATION).replace('"Priority":0', `"Priority":${nested}`)
+  t.is(FLEET_READER.decodeConfiguration(deepRoute)?.queues[0]?.priority, 0)
+})
+
 test("a request belongs to the queue with the longest matching prefix", t => {
   const configuration = FLEET_READER.decodeConfiguration(JSON.stringify(CONFIGURATION))
   if (!configuration) throw new RangeError("The configuration cannot be read.")
