A worker that its relay cannot reach is called through another one

Cause, by the fakes: a worker whose path to its relay is cut, but not its paths to others, counted as unreachable, and its lease lapsed with its runs, though the leader and other relays reached it.

Change: after a report call without an answer the worker's calls go through the next relay in its order, at last directly, for 10 s.

Result: relays.test 'a worker that its relay cannot reach' fails before (lease lapsed) and passes now.

--- a/src/relay/dispatcher.ts
+++ b/src/relay/dispatcher.ts
@@ -31,11 +31,14 @@
 const BATCH_MS: Milliseconds = 4
 /** A relay whose first sign of life takes longer is not used. Calls to its workers wait for that long. */
 const OPENING_TIMEOUT_MS: Milliseconds = 400
+/** How long a worker is not called through an instance that could not reach it. */
+const AVOID_ROUTE_MS: Milliseconds = 10_000
 /** How long an instance is not tried again after its channel has closed. */
 const AVOID_AFTER_CLOSE_MS: Milliseconds = 2000
 
-/** Stands for this instance in the choice of a relay, while there are too few for all workers. */
+/** Stands for this instance in the choice of a relay. */
 const DIRECT_NAME = ""
+const NONE: ReadonlySet<string> = new Set()
 
 export interface RelayDispatcherPorts {
   readonly clock: Clock
@@ -70,6 +73,12 @@
   isSuspected: boolean
 }
 
+/** The relays through which a worker could not be reached lately. */
+interface FailedRoutes {
+  readonly names: Set<string>
+  readonly since: Milliseconds
+}
+
 /** Through whom a worker's last report came, and when it was requested, on the clock of that instance. */
 interface LastReport {
   readonly by: Session | "direct"
@@ -82,6 +91,7 @@
   const avoidedUntil = new Map<string, Milliseconds>()
   /** The present relay of each worker; emptied when relays come or go. */
   const routes = new Map<string, Session | "direct">()
+  const failedRoutes = new Map<string, FailedRoutes>()
   const lastReports = new Map<string, LastReport>()
   let lastId = 0
   let isClosed = false
@@ -92,12 +102,29 @@
       .map(({member}) => member.name)
   }
 
+  function namesThatFailed(worker: string): ReadonlySet<string> {
+    const failed = failedRoutes.get(worker)
+    if (!failed) return NONE
+    if (clock.now() - failed.since < AVOID_ROUTE_MS) return failed.names
+    failedRoutes.delete(worker)
+    return NONE
+  }
+
+  /** The worker did not answer a report call through the relay; another relay may still reach it. */
+  function recordFailure(worker: string, {state, member}: Session): void {
+    if (state === "closed") return
+    const failed = failedRoutes.get(worker) ?? {names: new Set<string>(), since: clock.now()}
+    failedRoutes.set(worker, failed)
+    failed.names.add(member.name)
+    routes.delete(worker)
+  }
+
   function routeOf(worker: string): Session | "direct" {
     const known = routes.get(worker)
     if (known) return known
     const relays = usableNames()
     const isShort = relays.length < countRelays(countWorkers()) / 2
-    const name = relayOf(worker, isShort ? [...relays, DIRECT_NAME] : relays)
+    const name = relayOf(worker, isShort ? [...relays, DIRECT_NAME] : relays, namesThatFailed(worker))
     const route = name === undefined ? "direct" : (sessions.get(name) ?? "direct")
     routes.set(worker, route)
     return route
@@ -220,7 +247,10 @@
     const lastReportAt = isSame ? last.sentAt : 0
     const order: RelayedOrder = {type: "report", request: {acknowledged, deadline, wait, lastReportAt}}
     const result = await send(route, target, order)
-    if (result.type !== "report") return err(toCallFailed(route, result))
+    if (result.type !== "report") {
+      recordFailure(target.id, route)
+      return err(toCallFailed(route, result))
+    }
     lastReports.set(target.id, {by: route, sentAt: result.sentAt})
     return ok(result.answer)
   }
--- a/src/relay/selection.ts
+++ b/src/relay/selection.ts
@@ -37,7 +37,14 @@
     .slice(0, count)
 }
 
-/** The relay of a worker among the present ones. When one comes or goes, only the workers that it gets or had move. */
-export function relayOf(worker: string, relays: readonly string[]): string | undefined {
-  return rendezvousOrder(worker, relays)[0]
+/**
+ * The relay of a worker among the present ones, without those that could not reach the worker; undefined if none is left.
+ * When one comes or goes, only the workers that it gets or had move.
+ */
+export function relayOf(
+  worker: string,
+  relays: readonly string[],
+  failed: ReadonlySet<string>,
+): string | undefined {
+  return rendezvousOrder(worker, relays).find(name => !failed.has(name))
 }
--- a/test/fleet/relays.test.ts
+++ b/test/fleet/relays.test.ts
@@ -140,3 +140,25 @@
   t.is(Math.max(...fleet.workers.startCounts().values()), 1)
   t.deepEqual(fleet.workers.violations(), [])
 })
+
+test("a worker that its relay cannot reach is called through another one, and no run of it is lost", async t => {
+  const fleet = testFleet({
+    instances: 8,
+    workers: MANY_WORKERS,
+    planOf: () => ({demand: {processors: 1, memoryMebibytes: 100, accelerators: 0}, duration: 6000}),
+  })
+  await fleet.clock.advance(3000)
+  const jobs = await submitMany(fleet, 100, 10)
+  const [relay = ""] = relaysOf(fleet)
+  for (let index = 1; index <= MANY_WORKERS; index += 1) fleet.workers.disconnect(`worker-${index}`, relay)
+  await fleet.clock.advance(4000)
+  const more = await submitMany(fleet, 200, 5)
+  await fleet.clock.advance(22_000)
+  for (const job of [...jobs, ...more]) t.is(await fleet.stateAt(fleet.leader() ?? "", job), "completed")
+  t.deepEqual(fleet.workers.violations(), [])
+  t.is(Math.max(...fleet.workers.startCounts().values()), 1)
+  t.deepEqual(
+    fleet.logLines.filter(({event}) => event === "worker-unreachable" || event === "worker-lapsed"),
+    [],
+  )
+})
