What the leader remembers of a worker's routes is dropped with the worker

Cause, by reading: routes, failures and last reports were kept for each worker of a term for ever, and a worker that no relay reached stayed with the leader until relays came or went.

--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -175,6 +175,7 @@
     ledger,
     reader,
     onChange: schedulePass,
+    onForgotten: relays.forget,
     mayRunInherited: barrier.has,
     open: worker =>
       openWorkerLink(worker, {
--- a/src/planner/workerpool.ts
+++ b/src/planner/workerpool.ts
@@ -38,12 +38,14 @@
   readonly reader: FleetReader
   readonly open: (worker: WorkerState) => WorkerLink
   readonly onChange: () => void
+  /** Called when a worker is gone and its link is closed. */
+  readonly onForgotten: (id: string) => void
   /** True while the worker may run tasks that an earlier leader started, so that the roster has to name it. */
   readonly mayRunInherited: (worker: WorkerState) => boolean
 }
 
 export function createWorkerPool(context: WorkerPoolContext): WorkerPool {
-  const {clock, log, ledger, reader, open, onChange, mayRunInherited} = context
+  const {clock, log, ledger, reader, open, onChange, onForgotten, mayRunInherited} = context
   const workers = new Map<string, WorkerState>()
   const links = new Map<WorkerState, WorkerLink>()
   /** The revisions of present entries that name no worker, by key. */
@@ -77,6 +79,7 @@
     for (const assignment of [...worker.assignments.values()]) release(assignment)
     links.get(worker)?.close()
     links.delete(worker)
+    onForgotten(worker.listing.id)
     if (workers.get(worker.listing.id) === worker) workers.delete(worker.listing.id)
     // The roster is written anew, so that a later leader does not wait for this worker.
     void writeRoster()
--- a/src/relay/dispatcher.ts
+++ b/src/relay/dispatcher.ts
@@ -56,6 +56,8 @@
   readonly calls: WorkerCalls
   /** Opens missing channels and closes silent ones. Called at a fixed interval. */
   readonly check: () => void
+  /** Drops what is remembered of a worker that is gone. */
+  readonly forget: (worker: string) => void
   readonly countRelays: () => number
   readonly close: () => void
 }
@@ -102,12 +104,14 @@
       .map(({member}) => member.name)
   }
 
-  function namesThatFailed(worker: string): ReadonlySet<string> {
-    const failed = failedRoutes.get(worker)
-    if (!failed) return NONE
-    if (clock.now() - failed.since < AVOID_ROUTE_MS) return failed.names
-    failedRoutes.delete(worker)
-    return NONE
+  /** Workers are called through their first relay again some time after a failure. */
+  function forgetOldFailures(): void {
+    const now = clock.now()
+    for (const [worker, {since}] of failedRoutes) {
+      if (now - since < AVOID_ROUTE_MS) continue
+      failedRoutes.delete(worker)
+      routes.delete(worker)
+    }
   }
 
   /** The worker did not answer a report call through the relay; another relay may still reach it. */
@@ -124,7 +128,11 @@
     if (known) return known
     const relays = usableNames()
     const isShort = relays.length < countRelays(countWorkers()) / 2
-    const name = relayOf(worker, isShort ? [...relays, DIRECT_NAME] : relays, namesThatFailed(worker))
+    const name = relayOf(
+      worker,
+      isShort ? [...relays, DIRECT_NAME] : relays,
+      failedRoutes.get(worker)?.names ?? NONE,
+    )
     const route = name === undefined ? "direct" : (sessions.get(name) ?? "direct")
     routes.set(worker, route)
     return route
@@ -300,9 +308,15 @@
     calls,
     check() {
       if (isClosed) return
+      forgetOldFailures()
       closeSilentSessions()
       openMissingSessions()
     },
+    forget(worker) {
+      routes.delete(worker)
+      failedRoutes.delete(worker)
+      lastReports.delete(worker)
+    },
     countRelays: () => usableNames().length,
     close() {
       isClosed = true
--- a/test/fleet/relaydispatcher.test.ts
+++ b/test/fleet/relaydispatcher.test.ts
@@ -97,6 +97,8 @@
     {type: "report", request: {acknowledged: 0, lastReportAt: 0}},
     {type: "report", request: {acknowledged: 57, lastReportAt: 40}},
   ])
+  dispatcher.forget(TARGET.id)
+  t.like((await requestThrough())?.order, {type: "report", request: {acknowledged: 0, lastReportAt: 0}})
   listeners.get("entry-2")?.onClosed("connection reset")
   await dispatcher.calls.report(TARGET, REQUEST)
   await dispatcher.calls.report(TARGET, REQUEST)
