A gang asks for advice once all of its tasks fit

Its tickets expire unused, as the tasks do not fit together.

Change: unless instances are idle, a gang asks when so many tasks fit into the free capacity of workers that the service has not refused, and when it may start beside the headroom of more urgent work.

--- a/src/pipelines/adviceselection.ts
+++ b/src/pipelines/adviceselection.ts
@@ -3,7 +3,9 @@
  * tickets for them. A call costs a fixed time plus a small time for each worker named, and an instance makes one
  * call at a time. Whether a worker is allowed does not change, but tickets expire. A call therefore names every worker
  * that the step may use, as long as the names cost less time than the call itself. Under peak load with many steps,
- * one call for each freed worker would keep all instances busy.
+ * one call for each freed worker would keep all instances busy. So would calls for large gangs that wait until enough
+ * capacity is free: their tickets expire unused, and less urgent steps that have capacity wait for the calls. A gang asks
+ * once all of its tasks fit.
  */
 import type {Resources} from "../core/resources.js"
 import {fits} from "../core/resources.js"
@@ -32,6 +34,33 @@
   return fits(demand, candidate.free) && (step.perWorker === 0 || candidate.held < step.perWorker)
 }
 
+/** How many times the demand fits into what is free in one dimension. */
+function countFitting(demand: number, free: number): number {
+  return demand > 0 ? Math.floor(free / demand) : Infinity
+}
+
+/** The number of tasks of the step for which the candidate has free capacity. */
+function countSlots(step: Step, {free, held}: AdviceCandidate): number {
+  const {processors, memoryMebibytes, accelerators} = step.demand
+  const slots = Math.min(
+    step.fills ? Infinity : countFitting(processors, free.processors),
+    countFitting(memoryMebibytes, free.memoryMebibytes),
+    countFitting(accelerators, free.accelerators),
+    step.perWorker === 0 ? Infinity : step.perWorker - held,
+  )
+  return Math.max(0, slots)
+}
+
+/** False if so many tasks of the step cannot start together on the candidates, whichever of them the service allows. */
+export function canStartTogether(step: Step, tasks: number, candidates: readonly AdviceCandidate[]): boolean {
+  let slots = 0
+  for (const candidate of candidates) {
+    slots += countSlots(step, candidate)
+    if (slots >= tasks) return true
+  }
+  return false
+}
+
 function workerLimit(terms: AdviceTerms): number {
   const affordable =
     terms.perWorker > 0 ? (terms.base * MAX_NAMING_TIME_SHARE) / terms.perWorker : MAX_WORKERS_PER_CALL
--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -4,7 +4,7 @@
  * capacity, preempts running tasks and requests advice. It only decides; `PassActions` carries the decisions out.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
-import {chooseWorkersForAdvice} from "../pipelines/adviceselection.js"
+import {canStartTogether, chooseWorkersForAdvice} from "../pipelines/adviceselection.js"
 import type {AdviceCandidate} from "../pipelines/adviceselection.js"
 import type {Queue} from "../pipelines/model.js"
 import {placeTasks} from "../pipelines/placing.js"
@@ -113,25 +113,28 @@
   open: OpenStep,
   group: WorkerGroup,
   mayRequestEarly: boolean,
-  {view, actions, budget}: PassState,
+  {view, actions, reserved, budget}: PassState,
 ): void {
   const {run, queue} = open
+  const {step} = run
   if (run.isAwaitingAdvice || run.waiting.size === 0 || !queue.advice) return
-  if (!mayRequestEarly && group.unmet.covers(requiredCapacity(run.step))) return
+  if (!mayRequestEarly && group.unmet.covers(requiredCapacity(step))) return
+  if (!mayRequestEarly && step.gang && limitStarts(open, reserved) < run.waiting.size) return
   budget.spend(group.workers.length * PLACING_WORK)
   const held = countTasksByWorker(run)
-  const options: AdviceCandidate[] = group.workers
-    .filter(
-      worker => run.policyVerdicts.get(worker.listing.id) !== false && !hasTicket(run, worker, view.now),
-    )
+  const candidates = group.workers
+    .filter(worker => run.policyVerdicts.get(worker.listing.id) !== false)
     .map(worker => ({
       id: worker.listing.id,
       free: freeCapacityOf(worker),
       held: held.get(worker) ?? 0,
       allowed: run.policyVerdicts.get(worker.listing.id) === true,
+      hasTicket: hasTicket(run, worker, view.now),
     }))
+  if (!mayRequestEarly && step.gang && !canStartTogether(step, run.waiting.size, candidates)) return
+  const options: AdviceCandidate[] = candidates.filter(candidate => !candidate.hasTicket)
   // Tickets are renewed early: capacity that becomes free stays unused until the advice service has answered.
-  const chosen = chooseWorkersForAdvice(run.step, options, queue.advice, mayRequestEarly)
+  const chosen = chooseWorkersForAdvice(step, options, queue.advice, mayRequestEarly)
   if (chosen.length === 0) return
   budget.spend(ADVICE_CALL_WORK)
   actions.requestAdvice(run, queue, chosen)
--- a/test/guards/guards.ts
+++ b/test/guards/guards.ts
@@ -806,4 +806,12 @@
     test: "fleet/workerentries.test.js",
     match: "a later birth*",
   },
+  {
+    name: "a gang that does not fit makes no calls for advice",
+    file: "planner/planningpass.js",
+    find: "!canStartTogether(step, run.waiting.size, candidates)",
+    replace: "false",
+    test: "unit/passes.test.js",
+    match: "gangs that wait for capacity*",
+  },
 ]
--- a/test/unit/passes.test.ts
+++ b/test/unit/passes.test.ts
@@ -223,3 +223,34 @@
   t.is(started.length, 81)
   t.true(passes > 1, "one pass cannot look at all of them")
 })
+
+test("gangs that wait for capacity make no calls for advice, so that steps with capacity get theirs", t => {
+  const advice = {base: 559, perWorker: 8, ticketLife: 2000}
+  const gangQueue: Queue = {...QUEUE, name: "gangs", priority: 1, advice}
+  const laterQueue: Queue = {...LATE_QUEUE, advice}
+  // Five of them need less than what is free in all, but only four find room, one on each worker.
+  const demand = {processors: 2.1, memoryMebibytes: 100, accelerators: 0}
+  const gangs = Array.from({length: 20}, (_, index) =>
+    waitingJob(index, {count: 5, gang: true, demand}, gangQueue),
+  )
+  const small = waitingJob(100, {count: 2}, laterQueue)
+  const workers = usableWorkers(4)
+  const filler = waitingJob(200, {count: 4, demand: {...demand, processors: 4}})
+  const [fillerRun] = filler.stepRuns
+  if (!fillerRun) throw new RangeError("The job has no step.")
+  const fillers = workers.map((worker, index) => assign(fillerRun, index, 1, worker, 0))
+  const asked: string[] = []
+  const runPass = (now: Milliseconds): void => {
+    const actions: PassActions = {
+      startTasks: () => undefined,
+      requestAdvice: run => void asked.push(run.owner.job.queue.name),
+      preempt: () => undefined,
+    }
+    createPlanningPass(virtualClock(0)).run(viewOf(now, [...gangs, small], workers, 400_000), actions)
+  }
+  runPass(1000)
+  t.deepEqual(asked, ["reports"])
+  for (const assignment of fillers) release(assignment)
+  runPass(1100)
+  t.is(asked.filter(name => name === "gangs").length, gangs.length)
+})
