An instance that has just started does not claim the lead of a healthy leader

Cause: an instance that knows no leader counts it as silent, reads the leader key and claims. If the leader announced itself during the read, the key showed no later term than the one known by then, and the instance claimed the lead of a leader that was well.

Change: a verdict holds only for the leader that it was about, after the read and after the pause before the claim. Lines leader-denies and take-over tell the ways to a claim apart.

Result: leadership.test 'an instance that has just started' fails before and passes now.

--- a/src/planner/leadership.ts
+++ b/src/planner/leadership.ts
@@ -302,7 +302,8 @@
     if (verdict === "heard" || currentLeader !== view) return
     const sentAt = clock.now()
     const [read, termRecord] = await Promise.all([store.read(LEADER_KEY), store.read(TERM_KEY)])
-    if (isStopped || isLeading || isDraining) return
+    // A leader that became known meanwhile, as by its announcement, has not been found silent.
+    if (isStopped || isLeading || isDraining || currentLeader !== view) return
     if (read.isErr() || termRecord.isErr()) {
       if (!view) await pingPeers()
       return
@@ -317,8 +318,9 @@
     if (item.revision > term) applyLeaderItem(item, sentAt)
     if (currentLeader && item.revision > term) return
     if (verdict === "isolated") return
+    const replaced = currentLeader
     await delayClaim()
-    if (currentLeader === undefined || currentLeader.term === item.revision)
+    if (currentLeader === replaced && (replaced === undefined || replaced.term === item.revision))
       await claim(describeFormerTerm(item, termRecord.value))
   }
 
@@ -347,6 +349,10 @@
     }
     const reply = answer.value
     if (!reply.leads) {
+      log.info(
+        {event: "leader-denies", term: view.term, named: reply.leader?.name, namedTerm: reply.term},
+        "the instance that was taken for the leader does not lead",
+      )
       if (reply.leader && reply.term > view.term) followLeader(reply.term, reply.leader, true)
       else await resolveLeader(sentAt)
       return
@@ -460,6 +466,7 @@
     },
     takeOver(term) {
       if (isDraining || isStopped || isLeading || currentLeader?.term !== term) return false
+      log.info({event: "take-over", term}, "another instance asks this one to lead")
       void acceptLead(term)
       return true
     },
--- a/test/fleet/leadership.test.ts
+++ b/test/fleet/leadership.test.ts
@@ -2,6 +2,7 @@
 import test from "ava"
 import {err, ok} from "neverthrow"
 import type {Result} from "neverthrow"
+import {sleep} from "../../src/core/clock.js"
 import {CallFailed} from "../../src/core/errors.js"
 import {seededRandom} from "../../src/core/random.js"
 import {virtualClock} from "../../src/core/virtualclock.js"
@@ -73,3 +74,59 @@
   t.false(leadership.isLeader())
   t.deepEqual(events, ["leads", "deposed"])
 })
+
+test("an instance that has just started does not claim the lead of a leader that announces itself meanwhile", async t => {
+  for (const announcedAt of [0, 20, 60, 110]) {
+    const clock = virtualClock(1000)
+    const store = fakeStore(clock)
+    store.put(LEADER_KEY, formatLeader({...memberOf("entry-2"), claimedAt: 0, life: "life-2"}))
+    const term = store.get(LEADER_KEY)?.revision ?? 0
+    const port = store.portFor("entry-1")
+    let answeredPings = 0
+    const leadership = createLeadership({
+      clock,
+      random: seededRandom(1),
+      log: {debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined},
+      store: {...port, read: key => sleep(clock, 100).then(() => port.read(key))},
+      clients: {
+        reach: () => {
+          const ping = async (): Promise<Result<PingAnswer, CallFailed>> => {
+            await sleep(clock, 2)
+            answeredPings += 1
+            return ok({
+              leads: true,
+              term,
+              leader: memberOf("entry-2"),
+              leaderAgeMs: 0,
+              storeFailingMs: 0,
+              configurationVersion: 0,
+              configurationAgeMs: 0,
+              members: [memberOf("entry-2")],
+              membersDigest: 1,
+              queues: undefined,
+              loadingMs: 0,
+              clockMs: 1,
+            })
+          }
+          return {ping} as unknown as FleetPeer
+        },
+        close: () => undefined,
+      },
+      self: memberOf("entry-1"),
+      incarnation: "life-1",
+      seeds: ["entry-2:7000"],
+      onBecomeLeader: () => t.fail(`it leads; announced after ${announcedAt} ms`),
+      onDeposed: () => undefined,
+      onLeaderAnswer: () => undefined,
+      isStoreFailing: () => false,
+    })
+    leadership.start()
+    await clock.advance(announcedAt)
+    leadership.recordAnnouncement(term, memberOf("entry-2"))
+    await clock.advance(1500)
+    leadership.stop()
+    t.is(leadership.leader()?.member.name, "entry-2")
+    t.true(answeredPings > 0)
+    t.is(store.get(LEADER_KEY)?.revision, term)
+  }
+})
