--- a/test/guards/guards.ts
+++ b/test/guards/guards.ts
@@ -295,7 +295,7 @@
   {
     name: "a successor waits while more followers are missing than it can do without",
     file: "planner/barrier.js",
-    find: "missing <= countMissable(formerFollowers.length)",
+    find: "missing <= countMissable(lastFollowers.length)",
     replace: "true",
     test: FLEET_FAILURES,
     match: "a ping that was sent before the term*",
@@ -439,7 +439,7 @@
   {
     name: "a run of a job that is not known yet is not stopped",
     file: "planner/reports.js",
-    find: "mayBecomeKnown(running.task) || ",
+    find: "mayBecomeKnown(worker, running.task) || ",
     replace: "",
     test: "fleet/reports.test.js",
     match: "a run of a job that is not known yet*",
