--- a/src/relay/selection.ts
+++ b/src/relay/selection.ts
@@ -6,9 +6,9 @@
 import {hash32, rendezvousOrder} from "../core/hash.js"
 import type {Member} from "../peer/fleet.js"
 
-/** So many workers a leader calls itself: about the load at which a weak instance can still plan. */
+/** In a fleet of up to so many workers the leader calls all of them itself. */
 export const MOST_DIRECT_WORKERS = 64
-/** Calls to so many workers take a tenth of a processor at a usual load. */
+/** There is a relay for each so many workers. */
 const WORKERS_PER_RELAY = 32
 /** An instance with fewer processors is weak: calls at a peak would take too much of them. */
 const MIN_RELAY_PROCESSORS = 0.5
