Review case 1: schedules that are accepted bring down one instance after another

Shows that 20 accepted jobs, each a small step once a minute for a week, end the leader for want of memory, and each leader after it, without end. Nothing but these jobs is sent, and no fault is injected.

--- /dev/null
+++ b/review/1/case.ts
@@ -0,0 +1,52 @@
+/**
+ * Teams hand in schedules: a small job once a minute for a week. Without trouble, the same jobs run ten times each. All
+ * are accepted, and nothing else happens.
+ */
+import {drawId, runCase, TROUBLE} from "../standins/deployment.js"
+import {wait} from "../standins/network.js"
+
+const TEAMS = 20
+const MINUTES_OF_A_WEEK = 10_080
+const FEW_TIMES = 10
+const WATCHED_MS = 45_000
+/** The rule counts machines whose processes end by themselves this often, two machines at least. */
+const OWN_ENDS = 3
+const MACHINES = 2
+
+await runCase(
+  {
+    folder: "review/1",
+    instances: 3,
+    workers: ["w1", "w2", "w3"].map(id => ({
+      id,
+      service: "crease",
+      capacity: {Cpu: 16_000, MemMb: 32_768, Gpu: 0},
+      labels: ["a", "r1"],
+      upFor: 600_000,
+      workOf: () => 500,
+    })),
+    queues: [{name: "packs", prefix: "/packs/", service: "crease"}],
+  },
+  async ({client, instances, recorder}) => {
+    const accepted: string[] = []
+    for (let team = 0; team < TEAMS; team += 1) {
+      const id = drawId()
+      const isAccepted = await client.submit(instances, `/packs/${id}`, {
+        Spec: `the schedule of team ${team}`,
+        Pipeline: [{Count: 5, Cpu: 100, MemMb: 50, EstimateMs: 500}],
+        RepeatCount: TROUBLE ? MINUTES_OF_A_WEEK : FEW_TIMES,
+        StartAtMs: Date.now() + 5000,
+        IntervalMs: 60_000,
+      })
+      if (isAccepted) accepted.push(id)
+    }
+    recorder.note("accepted", {count: accepted.length})
+    await wait(WATCHED_MS)
+    const first = accepted[0] ?? ""
+    for (const instance of instances) await client.call(instance, "GET", `/packs/${first}`)
+    const ends = instances.map(instance => ({name: instance.name, ends: instance.ownEnds()}))
+    recorder.note("ended by themselves", {ends})
+    if (accepted.length === 0) throw new Error("No job was accepted.")
+    return ends.filter(one => one.ends >= OWN_ENDS).length >= MACHINES
+  },
+)
