Review case 4: a job runs after its cancelling was answered with 410

Shows that a client which leaves during its submission and cancels the job is told that there is no such job, while the system still writes the job and then runs it.

--- a/review/standins/client.ts
+++ b/review/standins/client.ts
@@ -12,7 +12,14 @@
 }
 
 export interface Client {
-  readonly call: (instance: Instance, method: string, path: string, body?: unknown) => Promise<Answer>
+  /** A client may leave before its deadline, after `patience`. */
+  readonly call: (
+    instance: Instance,
+    method: string,
+    path: string,
+    body?: unknown,
+    patience?: number,
+  ) => Promise<Answer>
   /** Hands a job in, again at the next instance where the answer leaves it open, until it is accepted. */
   readonly submit: (instances: readonly Instance[], path: string, body: unknown) => Promise<boolean>
 }
@@ -22,7 +29,13 @@
 const RETRY_MS = 300
 
 export function createClient(host: string, recorder: Recorder): Client {
-  function call(instance: Instance, method: string, path: string, body?: unknown): Promise<Answer> {
+  function call(
+    instance: Instance,
+    method: string,
+    path: string,
+    body?: unknown,
+    patience = DEADLINE_MS,
+  ): Promise<Answer> {
     const [address = "", port = ""] = instance.callers.split(":")
     const content = body === undefined ? "" : JSON.stringify(body)
     return new Promise(resolve => {
@@ -44,7 +57,7 @@
           "x-lacewingstream-deadline-ms": String(DEADLINE_MS),
         },
       })
-      const timer = setTimeout(() => request.destroy(new Error("deadline")), DEADLINE_MS)
+      const timer = setTimeout(() => request.destroy(new Error("the client leaves")), patience)
       request.once("error", error => end(0, error.message))
       request.once("response", response => {
         let text = ""
--- a/review/standins/store.ts
+++ b/review/standins/store.ts
@@ -21,9 +21,13 @@
   readonly put: (key: string, value: string) => void
   readonly remove: (key: string) => void
   readonly get: (key: string) => string | undefined
+  /** When the key was last created; undefined if it never was. */
+  readonly createdAt: (key: string) => number | undefined
   /** While down, calls get no answer and do nothing. */
   readonly setDown: (down: boolean) => void
   readonly isDown: () => boolean
+  /** This share of the transactions gets no answer, and is carried out 1 to 6 s later if its conditions still hold. */
+  readonly setLateShare: (share: number) => void
   readonly close: () => void
 }
 
@@ -33,6 +37,8 @@
 const VALUE_BYTES = 1_048_576
 const MOST_ENTRIES = 32
 const WATCH_STEP_MS = 10
+const LEAST_LATE_MS = 1000
+const LATE_RANGE_MS = 5000
 
 function encode(value: string): string {
   return Buffer.from(value, "utf8").toString("base64")
@@ -51,11 +57,14 @@
 export async function createStore(host: string): Promise<Store> {
   const items = new Map<string, Item>()
   const history: Change[] = []
+  const createdAt = new Map<string, number>()
   let revision = 10
   let isDown = false
+  let lateShare = 0
 
   function write(key: string, value: string | undefined): void {
     const created = items.get(key)?.created ?? revision
+    if (!items.has(key)) createdAt.set(key, performance.now())
     const item = value === undefined ? undefined : {key, value, revision, created}
     if (item) items.set(key, item)
     else items.delete(key)
@@ -123,6 +132,10 @@
     if (isDown) return undefined
     if (call.path === "/api/kv-watch") return watch(call.query)
     if (call.path === "/api/kv-range") return readRange(call.query)
+    if (call.path === "/api/kv-txn" && Math.random() < lateShare) {
+      setTimeout(() => commit(call.body), LEAST_LATE_MS + Math.random() * LATE_RANGE_MS)
+      return undefined
+    }
     if (call.path === "/api/kv-txn") return commit(call.body)
     if (call.path !== "/api/kv-key") return {status: 404}
     const item = items.get(call.query.get("Key") ?? "")
@@ -141,10 +154,14 @@
       write(key, undefined)
     },
     get: key => items.get(key)?.value,
+    createdAt: key => createdAt.get(key),
     setDown(down) {
       isDown = down
     },
     isDown: () => isDown,
+    setLateShare(share) {
+      lateShare = share
+    },
     close: server.close,
   }
 }
