Review: a cut link loses the connections that are begun during the cut

The proxy of the stand-ins delivered them after the cut, which a network would do only if the sender still tried. Cases 2 and 3 are played again with it; the worker of case 3 is now silent for 1 s.

--- a/review/3/case.ts
+++ b/review/3/case.ts
@@ -8,7 +8,7 @@
 const WORK_MS = 9000
 const JOBS = 40
 const JOB_EVERY_MS = 150
-const DARK_MS = 1200
+const DARK_MS = 1000
 const CUT_AFTER_MS = 600
 const CUT_MS = 5500
 const WATCHED_MS = 14_000
--- a/review/standins/network.ts
+++ b/review/standins/network.ts
@@ -104,7 +104,10 @@
 
 export interface Link {
   readonly address: string
-  /** While cut, the link carries nothing in either direction, new connections hang, and none is closed. */
+  /**
+   * While cut, the link carries nothing in either direction and closes no connection. What was sent on open connections
+   * arrives after the cut, if their sender has not given up; connections that were begun meanwhile hang for good.
+   */
   readonly setCut: (cut: boolean) => void
   readonly close: () => void
 }
@@ -115,7 +118,6 @@
   const held: (() => void)[] = []
   let isCut = false
 
-  /** What is sent into a cut arrives after it, as with packets that are sent again. */
   function pass(act: () => void): void {
     if (isCut) held.push(act)
     else act()
@@ -137,15 +139,16 @@
   }
 
   const server = createTcpServer(near => {
-    pass(() => {
-      if (near.destroyed) return
-      const [targetHost = "", port = ""] = target().split(":")
-      const far = connect(Number(port), targetHost)
-      carry(near, far)
-      carry(far, near)
-    })
     near.on("error", () => undefined)
     sockets.add(near)
+    if (isCut) {
+      near.resume()
+      return
+    }
+    const [targetHost = "", port = ""] = target().split(":")
+    const far = connect(Number(port), targetHost)
+    carry(near, far)
+    carry(far, near)
   })
   const port = await listen(server, host, 0)
   return {
