--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -12,11 +12,12 @@
 const PREFIX = "/packs/"
 const PATIENCE_MS = 450
 const LATE_SHARE = 0.35
+/** The last late write is carried out by then. */
+const LATEST_WRITE_MS = 6000
 /** `ContactMs`: the store is stable this long after its disruption. */
 const CONTACT_MS = 3000
 /** `cancel_ms` and `StopGraceMs`: by then nothing of a cancelled job may run. */
 const GONE_AFTER_MS = 3000 + 900
-const MARGIN_MS = 500
 
 async function act({client, instances, workers, store, recorder}: Deployment): Promise<boolean> {
   /** The jobs whose cancelling was acknowledged, with the time. */
@@ -46,7 +47,7 @@
   store.setLateShare(0)
   recorder.note("late-writes-end")
   await Promise.all(calls)
-  await wait(Math.max(CONTACT_MS, GONE_AFTER_MS) + MARGIN_MS)
+  await wait(LATEST_WRITE_MS + Math.max(CONTACT_MS, GONE_AFTER_MS))
   const running = workers.flatMap(worker => worker.running())
   const cancelled = [...acknowledged].map(([id, at]) => ({
     id,
