Review case 2: ends that come while the store is down are never written

Shows that jobs which are done stay `running` for good, and their ends are not taken note of, when the store was down for a few seconds as they ended and nothing else is written afterwards. The former cases 2 and 3 are now 3 and 4.

--- a/review/3/case.ts
+++ b/review/3/case.ts
@@ -1,58 +1,53 @@
 /**
- * A worker loses power and starts again under its id while tasks are being given to it. Soon after, it is cut off for a
- * few seconds and runs on.
+ * A job is accepted while its queue belongs to one service. The operator then sends the queue to another service. While a
+ * worker of the first service that runs a task of the job is cut off, the leader is killed.
  */
 import {drawId, runCase, TROUBLE} from "../standins/deployment.js"
 import {wait} from "../standins/network.js"
 
-const WORK_MS = 9000
-const JOBS = 40
-const JOB_EVERY_MS = 150
-const DARK_MS = 1000
-const CUT_AFTER_MS = 600
+const WORK_MS = 14_000
+const SETTLED_MS = 4000
 const CUT_MS = 5500
-const WATCHED_MS = 14_000
+const WATCHED_MS = 6000
+
+const worker = (id: string, service: string) => ({
+  id,
+  service,
+  capacity: {Cpu: 16_000, MemMb: 32_768, Gpu: 0},
+  labels: ["a", "r1"],
+  upFor: 600_000,
+  workOf: () => WORK_MS,
+})
 
 await runCase(
   {
     folder: "review/3",
     instances: 3,
-    workers: ["w1", "w2", "w3", "w4"].map(id => ({
-      id,
-      service: "crease",
-      capacity: {Cpu: 16_000, MemMb: 32_768, Gpu: 0},
-      labels: ["a", "r1"],
-      upFor: 600_000,
-      workOf: () => WORK_MS,
-    })),
+    workers: [worker("c1", "crease"), worker("c2", "crease"), worker("g1", "glide"), worker("g2", "glide")],
     queues: [{name: "packs", prefix: "/packs/", service: "crease"}],
   },
-  async ({client, instances, workers, overlaps, recorder}) => {
-    const step = {Count: 2, Cpu: 600, MemMb: 200, EstimateMs: WORK_MS}
-    const handIn = async (): Promise<void> => {
-      for (let job = 0; job < JOBS; job += 1) {
-        void client.submit(instances, `/packs/${drawId()}`, {Spec: "a pack", Pipeline: [step]})
-        await wait(JOB_EVERY_MS)
-      }
-    }
-    const handedIn = handIn()
-    await wait(1500)
-    const [first] = workers
-    if (TROUBLE && first) {
-      first.crash()
-      first.link.setCut(true)
-      await wait(DARK_MS)
-      first.link.setCut(false)
-      await first.restart()
-      await wait(CUT_AFTER_MS)
-      recorder.note("cut", {worker: first.id, running: first.running()})
-      first.link.setCut(true)
-      await wait(CUT_MS)
-      recorder.note("healed", {worker: first.id})
-      first.link.setCut(false)
+  async ({client, instances, configure, leader, workerOf, overlaps, recorder}) => {
+    const id = drawId()
+    const body = {Spec: "a pack", Pipeline: [{Count: 1, Cpu: 1000, MemMb: 500, EstimateMs: WORK_MS}]}
+    if (!(await client.submit(instances, `/packs/${id}`, body))) throw new Error("The job was not accepted.")
+    await wait(1000)
+    const holder = workerOf(`${id}.0.0.0`)
+    if (!holder) throw new Error("The task has not started.")
+    configure([{name: "packs", prefix: "/packs/", service: "glide"}])
+    await wait(SETTLED_MS)
+    if (TROUBLE) {
+      recorder.note("cut", {worker: holder.id})
+      holder.link.setCut(true)
+      const killed = leader()
+      killed?.signal("SIGKILL")
+      await wait(3500)
+      killed?.start()
+      await wait(CUT_MS - 3500)
+      recorder.note("healed", {worker: holder.id})
+      holder.link.setCut(false)
     }
-    await handedIn
     await wait(WATCHED_MS)
+    for (const instance of instances) await client.call(instance, "GET", `/packs/${id}`)
     return overlaps().length > 0
   },
 )
--- a/review/standins/store.ts
+++ b/review/standins/store.ts
@@ -23,8 +23,8 @@
   readonly get: (key: string) => string | undefined
   /** When the key was last created; undefined if it never was. */
   readonly createdAt: (key: string) => number | undefined
-  /** While down, calls get no answer and do nothing. */
-  readonly setDown: (down: boolean) => void
+  /** While down, calls do nothing, and get no answer or, where it is busy, 503. */
+  readonly setDown: (down: boolean, how?: "silent" | "busy") => void
   readonly isDown: () => boolean
   /** This share of the transactions gets no answer, and is carried out 1 to 6 s later if its conditions still hold. */
   readonly setLateShare: (share: number) => void
@@ -60,6 +60,7 @@
   const createdAt = new Map<string, number>()
   let revision = 10
   let isDown = false
+  let downReply: Reply | undefined
   let lateShare = 0
 
   function write(key: string, value: string | undefined): void {
@@ -92,7 +93,7 @@
     const after = Number(query.get("After"))
     const until = performance.now() + Number(query.get("WaitMs"))
     for (;;) {
-      if (isDown) return undefined
+      if (isDown) return downReply
       const changes = history.filter(change => change.revision > after && change.key.startsWith(prefix))
       if (changes.length > 0 || performance.now() >= until) {
         const events = changes.map(change =>
@@ -129,7 +130,7 @@
 
   async function handle(call: Call): Promise<Reply | undefined> {
     await wait(ANSWER_MS / 2)
-    if (isDown) return undefined
+    if (isDown) return downReply
     if (call.path === "/api/kv-watch") return watch(call.query)
     if (call.path === "/api/kv-range") return readRange(call.query)
     if (call.path === "/api/kv-txn" && Math.random() < lateShare) {
@@ -155,8 +156,9 @@
     },
     get: key => items.get(key)?.value,
     createdAt: key => createdAt.get(key),
-    setDown(down) {
+    setDown(down, how = "silent") {
       isDown = down
+      downReply = how === "busy" ? {status: 503} : undefined
     },
     isDown: () => isDown,
     setLateShare(share) {
