Review cases 3 and 4: shares of workers within those of the site file

One of six workers of a service is cut off in case 3, and one of eight falls silent in case 4; it was one of four in both.

--- a/review/3/case.ts
+++ b/review/3/case.ts
@@ -23,7 +23,10 @@
   {
     folder: "review/3",
     instances: 3,
-    workers: [worker("c1", "crease"), worker("c2", "crease"), worker("g1", "glide"), worker("g2", "glide")],
+    workers: [
+      ...["c1", "c2", "c3", "c4", "c5", "c6"].map(id => worker(id, "crease")),
+      ...["g1", "g2"].map(id => worker(id, "glide")),
+    ],
     queues: [{name: "packs", prefix: "/packs/", service: "crease"}],
   },
   async ({client, instances, configure, leader, workerOf, overlaps, recorder}) => {
--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -17,7 +17,7 @@
   {
     folder: "review/4",
     instances: 3,
-    workers: ["w1", "w2", "w3", "w4"].map(id => ({
+    workers: ["w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"].map(id => ({
       id,
       service: "crease",
       capacity: {Cpu: 16_000, MemMb: 32_768, Gpu: 0},
