--- a/review/3/case.ts
+++ b/review/3/case.ts
@@ -42,7 +42,7 @@
       recorder.note("cut", {worker: holder.id})
       holder.link.setCut(true)
       const killed = leader()
-      killed?.signal("SIGKILL")
+      killed?.kill()
       await wait(3500)
       killed?.start()
       await wait(CUT_MS - 3500)
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
-# Builds the scripts of the cases, with the stand-ins that they start. Run in the root of the repository.
+# Builds the scripts of the cases, each with the stand-ins that it starts. Needs the packages of the project.
 set -eu
+cd "$(dirname "$0")/.."
 for script in review/*/case.ts; do
   name=$(basename "$(dirname "$script")")
   node_modules/.bin/esbuild "$script" --bundle --platform=node --target=node20 --format=esm \
--- a/review/standins/client.ts
+++ b/review/standins/client.ts
@@ -12,14 +12,7 @@
 }
 
 export interface Client {
-  /** A client may leave before its deadline, after `patience`. */
-  readonly call: (
-    instance: Instance,
-    method: string,
-    path: string,
-    body?: unknown,
-    patience?: number,
-  ) => Promise<Answer>
+  readonly call: (instance: Instance, method: string, path: string, body?: unknown) => Promise<Answer>
   /** Hands a job in, again at the next instance where the answer leaves it open, until it is accepted. */
   readonly submit: (instances: readonly Instance[], path: string, body: unknown) => Promise<boolean>
 }
@@ -29,13 +22,7 @@
 const RETRY_MS = 300
 
 export function createClient(host: string, recorder: Recorder): Client {
-  function call(
-    instance: Instance,
-    method: string,
-    path: string,
-    body?: unknown,
-    patience = DEADLINE_MS,
-  ): Promise<Answer> {
+  function call(instance: Instance, method: string, path: string, body?: unknown): Promise<Answer> {
     const [address = "", port = ""] = instance.callers.split(":")
     const content = body === undefined ? "" : JSON.stringify(body)
     return new Promise(resolve => {
@@ -57,7 +44,7 @@
           "x-lacewingstream-deadline-ms": String(DEADLINE_MS),
         },
       })
-      const timer = setTimeout(() => request.destroy(new Error("the client leaves")), patience)
+      const timer = setTimeout(() => request.destroy(new Error("no answer in time")), DEADLINE_MS)
       request.once("error", error => end(0, error.message))
       request.once("response", response => {
         let text = ""
--- a/review/standins/deployment.ts
+++ b/review/standins/deployment.ts
@@ -160,6 +160,7 @@
   options: DeploymentOptions,
   act: (deployment: Deployment) => Promise<boolean>,
 ): Promise<never> {
+  for (const signal of ["SIGTERM", "SIGINT"]) process.once(signal, () => process.exit(2))
   const temporary = mkdtempSync(join(tmpdir(), "review-"))
   const recorder = createRecorder(join(options.folder, "record.txt"))
   let code = 2
--- a/review/standins/instances.ts
+++ b/review/standins/instances.ts
@@ -8,10 +8,8 @@
 export interface Instance {
   readonly name: string
   readonly callers: string
-  readonly status: string
   readonly start: () => void
-  readonly signal: (name: "SIGKILL" | "SIGSTOP" | "SIGCONT" | "SIGTERM") => void
-  readonly isRunning: () => boolean
+  readonly kill: () => void
   /** How often the process has ended without a signal of the script. */
   readonly ownEnds: () => number
   readonly retire: () => Promise<void>
@@ -102,17 +100,18 @@
     })
   }
 
+  // Whatever ends the script, its processes end with it.
+  process.once("exit", () => void child?.kill("SIGKILL"))
+
   return {
     name,
     callers,
-    status,
     start,
-    signal(signal) {
-      recorder.note("signal", {name, signal})
-      if (signal === "SIGKILL" || signal === "SIGTERM") isSignalled = true
-      child?.kill(signal)
+    kill() {
+      recorder.note("killed", {name})
+      isSignalled = true
+      child?.kill("SIGKILL")
     },
-    isRunning: () => child !== undefined,
     ownEnds: () => ownEnds,
     async retire() {
       isRetired = true
--- a/review/standins/store.ts
+++ b/review/standins/store.ts
@@ -19,26 +19,20 @@
 export interface Store {
   readonly address: string
   readonly put: (key: string, value: string) => void
-  readonly remove: (key: string) => void
   readonly get: (key: string) => string | undefined
-  /** When the key was last created; undefined if it never was. */
-  readonly createdAt: (key: string) => number | undefined
-  /** While down, calls do nothing, and get no answer or, where it is busy, 503. */
-  readonly setDown: (down: boolean, how?: "silent" | "busy") => void
+  /** While down, the store is busy: calls get 503 and do nothing. */
+  readonly setDown: (down: boolean) => void
   readonly isDown: () => boolean
-  /** This share of the transactions gets no answer, and is carried out 1 to 6 s later if its conditions still hold. */
-  readonly setLateShare: (share: number) => void
   readonly close: () => void
 }
 
+const BUSY: Reply = {status: 503}
 const ANSWER_MS = 4
 const PAGE_ITEMS = 500
 const PAGE_BYTES = 1_000_000
 const VALUE_BYTES = 1_048_576
 const MOST_ENTRIES = 32
 const WATCH_STEP_MS = 10
-const LEAST_LATE_MS = 1000
-const LATE_RANGE_MS = 5000
 
 function encode(value: string): string {
   return Buffer.from(value, "utf8").toString("base64")
@@ -57,15 +51,11 @@
 export async function createStore(host: string): Promise<Store> {
   const items = new Map<string, Item>()
   const history: Change[] = []
-  const createdAt = new Map<string, number>()
   let revision = 10
   let isDown = false
-  let downReply: Reply | undefined
-  let lateShare = 0
 
   function write(key: string, value: string | undefined): void {
     const created = items.get(key)?.created ?? revision
-    if (!items.has(key)) createdAt.set(key, performance.now())
     const item = value === undefined ? undefined : {key, value, revision, created}
     if (item) items.set(key, item)
     else items.delete(key)
@@ -88,12 +78,12 @@
     return {status: 200, body: {items: page, HasMore: page.length < found.length, AsOf: revision}}
   }
 
-  async function watch(query: URLSearchParams): Promise<Reply | undefined> {
+  async function watch(query: URLSearchParams): Promise<Reply> {
     const prefix = query.get("Prefix") ?? ""
     const after = Number(query.get("After"))
     const until = performance.now() + Number(query.get("WaitMs"))
     for (;;) {
-      if (isDown) return downReply
+      if (isDown) return BUSY
       const changes = history.filter(change => change.revision > after && change.key.startsWith(prefix))
       if (changes.length > 0 || performance.now() >= until) {
         const events = changes.map(change =>
@@ -128,15 +118,11 @@
     return {status: 200, body: {Revision: revision}}
   }
 
-  async function handle(call: Call): Promise<Reply | undefined> {
+  async function handle(call: Call): Promise<Reply> {
     await wait(ANSWER_MS / 2)
-    if (isDown) return downReply
+    if (isDown) return BUSY
     if (call.path === "/api/kv-watch") return watch(call.query)
     if (call.path === "/api/kv-range") return readRange(call.query)
-    if (call.path === "/api/kv-txn" && Math.random() < lateShare) {
-      setTimeout(() => commit(call.body), LEAST_LATE_MS + Math.random() * LATE_RANGE_MS)
-      return undefined
-    }
     if (call.path === "/api/kv-txn") return commit(call.body)
     if (call.path !== "/api/kv-key") return {status: 404}
     const item = items.get(call.query.get("Key") ?? "")
@@ -150,20 +136,11 @@
       revision += 1
       write(key, value)
     },
-    remove(key) {
-      revision += 1
-      write(key, undefined)
-    },
     get: key => items.get(key)?.value,
-    createdAt: key => createdAt.get(key),
-    setDown(down, how = "silent") {
+    setDown(down) {
       isDown = down
-      downReply = how === "busy" ? {status: 503} : undefined
     },
     isDown: () => isDown,
-    setLateShare(share) {
-      lateShare = share
-    },
     close: server.close,
   }
 }
--- a/review/standins/worker.ts
+++ b/review/standins/worker.ts
@@ -31,23 +31,13 @@
   /** The process ends at once; its connections break. */
   readonly crash: () => void
   /** The process starts again under its id, and registers itself. */
-  readonly restart: (capacity?: Capacity, labels?: readonly string[]) => Promise<void>
+  readonly restart: () => Promise<void>
   readonly isUp: () => boolean
   /** The tasks that run at present. */
   readonly running: () => readonly string[]
-  /** What `demandOf` gives for the tasks that run at present, against the capacity of this life. */
-  readonly capacity: () => Capacity
-  readonly labels: () => readonly string[]
   readonly close: () => void
 }
 
-export interface Start {
-  readonly worker: string
-  readonly task: string
-  readonly attempt: number
-  readonly at: number
-}
-
 interface Run {
   readonly task: string
   readonly attempt: number
@@ -58,8 +48,6 @@
   readonly born: number
   readonly startedAt: number
   readonly clockOffset: number
-  readonly capacity: Capacity
-  readonly labels: readonly string[]
   readonly runs: Map<string, Run>
   readonly highest: Map<string, number>
   finished: (readonly [number, string, number, string, string])[]
@@ -209,8 +197,8 @@
       Capacity: 8,
       State: "ready",
       ColdRemainingMs: 0,
-      FreeCapacity: one.capacity,
-      Labels: one.labels,
+      FreeCapacity: options.capacity,
+      Labels: options.labels,
       ServerTimeMs: clockOf(one),
       Sequence: sequence,
       Id: id,
@@ -219,18 +207,11 @@
     store.put(`servers/${id}`, JSON.stringify(entry))
   }
 
-  async function begin(
-    capacity: Capacity,
-    labels: readonly string[],
-    clockOffset: number,
-    born: number,
-  ): Promise<void> {
+  async function begin(clockOffset: number, born: number): Promise<void> {
     const one: Life = {
       born: Math.floor(born),
       startedAt: performance.now(),
       clockOffset,
-      capacity,
-      labels,
       runs: new Map(),
       highest: new Map(),
       finished: [],
@@ -246,7 +227,7 @@
       if (life === one && !isClosed) register(one)
       else clearInterval(beat)
     }, HEARTBEAT_MS)
-    recorder.note("worker-up", {worker: id, address: link.address, capacity, labels, born: one.born})
+    recorder.note("worker-up", {worker: id, address: link.address, born: one.born})
   }
 
   const worker: Worker = {
@@ -258,11 +239,9 @@
       server?.close()
       server = undefined
     },
-    restart: (capacity = options.capacity, labels = options.labels) => begin(capacity, labels, 0, Date.now()),
+    restart: () => begin(0, Date.now()),
     isUp: () => life !== undefined,
     running: () => [...(life?.runs.keys() ?? [])],
-    capacity: () => life?.capacity ?? {Cpu: 0, MemMb: 0, Gpu: 0},
-    labels: () => life?.labels ?? [],
     close() {
       isClosed = true
       server?.close()
@@ -270,6 +249,6 @@
     },
   }
   tick()
-  await begin(options.capacity, options.labels, options.upFor, Date.now() - options.upFor)
+  await begin(options.upFor, Date.now() - options.upFor)
   return worker
 }
