Orders and leases reach only the incarnation of a worker that they are meant for

Cause: a deadline is an instant on the worker's clock, which starts anew with each incarnation, and orders that were computed for the former one were sent and repeated over any connection. Ruled out: that only the leader's record of the lease was too short, since a worker may be cut off before its first report, and the leader be replaced.

Change: a call names the incarnation that it is meant for. Whoever makes the call knows where a connection leads from the reports that came back over it, and sends starts, lease extensions and acknowledgements over no other. A report without a wait precedes a start over a new connection. The times of last reports that leader and relays exchanged are gone, and with them the test that ends are acknowledged only through the relay that read the last report: what it guarded is now checked by the caller of the worker, for each connection ("no end is acknowledged over a connection that may lead to a later incarnation", which now restarts the worker), and by spec/relays.qnt, whose two defects are caught.

--- a/spec/defects.ts
+++ b/spec/defects.ts
@@ -124,17 +124,17 @@
     invariant: "startedOnce",
   },
   {
-    name: "a relay acknowledges ends that another one has read",
+    name: "a relay acknowledges ends without regard to the incarnation that the leader has read them of",
     specification: "relays",
-    find: "val isSameRelay = lastRelay == relay",
-    replace: "val isSameRelay = true",
+    find: "val isMeant = confirmedLife.get(relay) == knownLife",
+    replace: "val isMeant = confirmedLife.get(relay) > 0",
     invariant: "noEndIsLost",
   },
   {
-    name: "ends are acknowledged over a connection that is younger than the last report",
+    name: "ends are acknowledged over a connection that may lead to a later incarnation",
     specification: "relays",
-    find: "val isOlder = openedAt < lastReportAt",
-    replace: "val isOlder = true",
+    find: "val isMeant = confirmedLife.get(relay) == knownLife",
+    replace: "val isMeant = true",
     invariant: "noEndIsLost",
   },
 ]
--- a/src/cli/daemon.ts
+++ b/src/cli/daemon.ts
@@ -31,6 +31,8 @@
 const LOG_FLUSH_MS: Milliseconds = 100
 /** More than one connection to each worker, so that orders can be sent while a report waits for its answer. */
 const WORKER_CONNECTIONS = 4
+/** For reports that tell to which incarnation of the worker a new connection leads. */
+const WORKER_IDENTITY_CONNECTIONS = 1
 /** Enough that calls which wait for their timeout at a store that does not answer do not block calls made once it answers. */
 const STORE_CONNECTIONS = 20
 const PROBE_CONNECTIONS = 4
@@ -69,7 +71,7 @@
       store: keyValueStore(storeCaller, settings.storeAddress),
       probeStore: () => probe.read(LEADER_KEY),
       reader: FLEET_READER,
-      workers: workerCalls(workerCaller),
+      workers: workerCalls(workerCaller, jsonClient(WORKER_IDENTITY_CONNECTIONS)),
       advice: adviceCalls(storeCaller, settings.adviceAddress),
       clients,
     },
--- a/src/peer/relay.ts
+++ b/src/peer/relay.ts
@@ -62,8 +62,8 @@
 function encodeOrder(order: RelayedOrder, indexOf: (payload: string) => number) {
   switch (order.type) {
     case "report": {
-      const {acknowledged, lastReportAt, deadline, wait} = order.request
-      return {case: "report" as const, value: {acknowledged, lastReportAt, deadline, waitMs: wait}}
+      const {acknowledged, incarnation, deadline, wait} = order.request
+      return {case: "report" as const, value: {acknowledged, incarnation, deadline, waitMs: wait}}
     }
     case "start": {
       const {payload, timeout, ...rest} = order.order
@@ -98,14 +98,18 @@
 function decodeOrder({order}: Call, payloads: readonly string[]): RelayedOrder | undefined {
   switch (order.case) {
     case "report": {
-      const {acknowledged, lastReportAt, deadline, waitMs: wait} = order.value
-      return {type: "report", request: {acknowledged, lastReportAt, deadline, wait}}
+      const {acknowledged, incarnation, deadline, waitMs: wait} = order.value
+      return {type: "report", request: {acknowledged, incarnation, deadline, wait}}
     }
     case "start": {
-      const {task, attempt, payload: index, deadline, ticket, checkpoint, timeoutMs: timeout} = order.value
+      const {task, attempt, payload: index, incarnation, deadline, ticket, checkpoint} = order.value
       const payload = payloads[index]
       if (payload === undefined) return undefined
-      return {type: "start", order: {task, attempt, payload, deadline, ticket, checkpoint, timeout}}
+      const timeout = order.value.timeoutMs
+      return {
+        type: "start",
+        order: {task, attempt, payload, incarnation, deadline, ticket, checkpoint, timeout},
+      }
     }
     case "stop":
       return {type: "stop", task: order.value.task, attempt: order.value.attempt}
@@ -150,11 +154,11 @@
 function encodeAnswer({id, result}: RelayedAnswer): Answer {
   switch (result.type) {
     case "report": {
-      const {answer, sentAt} = result
+      const {answer} = result
       if (answer.type !== "report")
         return create(AnswerSchema, {id, result: {case: "outcome", value: answer.type}})
       const {clock, bornAt, running, ended} = answer.report
-      const value = {clock, bornAt, running: [...running], ended: [...ended], sentAt}
+      const value = {clock, bornAt, running: [...running], ended: [...ended]}
       return create(AnswerSchema, {id, result: {case: "report", value}})
     }
     case "start":
@@ -181,13 +185,13 @@
   if (result.case === "failure")
     return {type: "failure", reason: result.value.reason, isUnsent: result.value.notRun}
   if (result.case === "report" && type === "report") {
-    const {clock, bornAt, running, ended, sentAt} = result.value
+    const {clock, bornAt, running, ended} = result.value
     const report = {clock, bornAt, running, ended: ended.map(one => ({...one, end: one.end as RunEnd}))}
-    return {type: "report", answer: {type: "report", report}, sentAt}
+    return {type: "report", answer: {type: "report", report}}
   }
   const outcome = result.case === "outcome" ? result.value : ""
   if (type === "report" && (outcome === "superseded" || outcome === "replaced"))
-    return {type: "report", answer: {type: outcome}, sentAt: 0}
+    return {type: "report", answer: {type: outcome}}
   const started = type === "start" ? decodeStartAnswer(outcome) : undefined
   if (started) return {type: "start", answer: started}
   if ((type === "stop" || type === "throttle") && COMMAND_ANSWERS.has(outcome))
--- a/src/pipelines/ports.ts
+++ b/src/pipelines/ports.ts
@@ -102,6 +102,11 @@
   readonly task: string
   readonly attempt: number
   readonly payload: string
+  /**
+   * The incarnation of the worker that `deadline` was chosen for, as in `WorkerReport.bornAt`. The order is sent to no
+   * other: the clock of a later one has started anew, and the lease would last far longer there.
+   */
+  readonly incarnation: number
   /** End of the worker's lease, on the worker's clock. Everything on the worker ends when it passes. */
   readonly deadline: Milliseconds
   readonly term: number
@@ -138,10 +143,10 @@
   /** Ends up to this number are acknowledged: they are stored, and the worker may forget them. */
   readonly acknowledged: number
   /**
-   * When the last answered report was requested. A connection that is older than that leads to the incarnation of the
-   * worker that answered it; over a later one nothing is acknowledged, as a new incarnation numbers its ends anew.
+   * The incarnation of the worker that the request is meant for, 0 if none is known. Another one is only asked for its
+   * report: it numbers its ends anew and its clock has started anew, so nothing is acknowledged and no lease extended.
    */
-  readonly lastReportAt: Milliseconds
+  readonly incarnation: number
   /** New end of the worker's lease, on the worker's clock; undefined leaves it unchanged. */
   readonly deadline: Milliseconds | undefined
   /** Time for which the worker may delay the report until a task ends. */
--- a/src/planner/reports.ts
+++ b/src/planner/reports.ts
@@ -113,7 +113,7 @@
     worker.handledThrough = 0
     worker.handledOutOfOrder.clear()
     worker.acknowledgedThrough = 0
-    // A request meant for the earlier incarnation may still reach this one, with a deadline earlier than this.
+    // Requests meant for the earlier incarnation do not reach this one, but an earlier leader may have found it first.
     worker.deadline = report.clock + leaseDuration
     storing.delete(worker)
     for (const assignment of [...worker.assignments.values()]) {
--- a/src/planner/workerlink.ts
+++ b/src/planner/workerlink.ts
@@ -121,9 +121,6 @@
   const isOpen = (): boolean => !worker.isClosed
   /** The last report call got no answer, so it is unknown whether the worker is still there. */
   let isInDoubt = false
-  /** When the last answered report was requested. */
-  let lastReportAt = -Infinity
-
   async function pollReports(): Promise<void> {
     while (isOpen()) {
       const sentAt = clock.now()
@@ -134,14 +131,13 @@
         term,
         // A silent worker may have restarted. Its ends then count from one again, and none is acknowledged.
         acknowledged: isInDoubt || !worker.isReachable ? 0 : worker.acknowledgedThrough,
-        lastReportAt,
+        incarnation: worker.incarnation,
         deadline,
         wait: worker.isReachable && worker.isFenced && !isInDoubt ? wait : 0,
       })
       if (!isOpen()) return
       if (answer.isOk()) {
         isInDoubt = false
-        lastReportAt = sentAt
         if (!(await handleReport(answer.value, sentAt))) return
         continue
       }
@@ -189,6 +185,7 @@
     checkpoint: string,
   ): Promise<void> {
     let mayHaveBeenSent = false
+    const {incarnation} = worker
     const deadline = extendLease()
     if (deadline === undefined) {
       events.onNotSent(assignment)
@@ -196,7 +193,7 @@
     }
     for (const timeout of START_TIMEOUTS_MS) {
       const {task, attempt} = assignment
-      const order = {task, attempt, payload, deadline, term, ticket, checkpoint, timeout}
+      const order = {task, attempt, payload, incarnation, deadline, term, ticket, checkpoint, timeout}
       const answer = await calls.start(target(), order)
       if (assignment.phase === "gone" || !isOpen()) return
       if (answer.isOk()) {
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -15,6 +15,13 @@
   readonly body: unknown
 }
 
+/** Identifies a connection. It leads to the same process of the server as long as it lives. */
+export type Connection = Socket
+
+/** The content of a request; undefined sends none. */
+type Content = string | undefined
+type ContentFor = (connection: Connection) => Content | Promise<Content>
+
 export interface JsonClient {
   /**
    * Sends a JSON body and reads a JSON reply. The certainty of a failure is `not-run` when it occurred before the
@@ -29,13 +36,13 @@
     headers?: Readonly<Record<string, string>>,
   ) => Promise<Result<JsonReply, CallFailed>>
   /**
-   * Sends a JSON body that is chosen when the connection that carries it is known, by the instant (of
-   * `performance.now()`) at which that connection was established.
+   * Sends a JSON body that is chosen when the connection that carries it is established. With the body `undefined`,
+   * nothing is sent and the call fails as `not-run`.
    */
   readonly post: (
     address: string,
     path: string,
-    bodyFor: (connectedAt: Milliseconds) => unknown,
+    bodyFor: (connection: Connection) => unknown,
     timeout: Milliseconds,
     headers: Readonly<Record<string, string>>,
   ) => Promise<Result<JsonReply, CallFailed>>
@@ -83,7 +90,6 @@
 /** Creates a client with its own connection pool. */
 export function jsonClient(connections = MAX_CONNECTIONS_PER_ADDRESS): JsonClient {
   const agent = new Agent({keepAlive: true, maxSockets: connections, timeout: SOCKET_TIMEOUT_MS})
-  const connectedAt = new WeakMap<Socket, Milliseconds>()
 
   /**
    * Closes the idle connections to the address. When a call gets no response, a device on the network path may have
@@ -93,14 +99,14 @@
     for (const socket of agent.freeSockets[agent.getName(options)] ?? []) socket.destroy()
   }
 
-  /** Content that depends on the connection is written when the connection is established. */
+  /** Content that depends on the connection is written when the connection is established, or later. */
   function send(
     options: RequestOptions,
-    content: string | ((connectedAt: Milliseconds) => string),
+    content: string | ContentFor,
     timeout: Milliseconds,
   ): Promise<JsonReply> {
     return new Promise((resolve, reject) => {
-      let connected = false
+      let isSent = false
       let settled = false
       const request = httpRequest(options)
       const failOnTimeout = (): void => {
@@ -131,16 +137,29 @@
           new CallFailed(
             `${options.host}:${options.port}`,
             describeError(error),
-            connected ? "unknown" : "not-run",
+            isSent ? "unknown" : "not-run",
           ),
         )
       }
       request.once("socket", socket => {
+        const write = (chosen: Content): void => {
+          if (request.destroyed) return
+          if (chosen === undefined) {
+            request.destroy(new Error("the connection is not suitable for the request"))
+            return
+          }
+          isSent = true
+          request.end(chosen)
+        }
         const proceed = (): void => {
-          connected = true
-          const since = connectedAt.get(socket) ?? performance.now()
-          connectedAt.set(socket, since)
-          if (typeof content !== "string") request.end(content(since))
+          if (typeof content === "string") {
+            isSent = true
+            return
+          }
+          const chosen = content(socket)
+          if (chosen instanceof Promise)
+            chosen.then(write, (error: unknown) => request.destroy(new Error(describeError(error))))
+          else write(chosen)
         }
         if (socket.connecting) socket.once("connect", proceed)
         else proceed()
@@ -162,7 +181,7 @@
   async function trySend(
     address: string,
     request: Pick<RequestOptions, "method" | "path" | "headers">,
-    content: string | ((connectedAt: Milliseconds) => string),
+    content: string | ContentFor,
     timeout: Milliseconds,
   ): Promise<Result<JsonReply, CallFailed>> {
     const separator = address.lastIndexOf(":")
@@ -187,7 +206,11 @@
     },
     post(address, path, bodyFor, timeout, headers) {
       const contentHeaders = {...headers, "content-type": "application/json"}
-      const content = (since: Milliseconds): string => JSON.stringify(bodyFor(since))
+      const encode = (body: unknown): Content => (body === undefined ? undefined : JSON.stringify(body))
+      const content: ContentFor = connection => {
+        const body = bodyFor(connection)
+        return body instanceof Promise ? body.then(encode) : encode(body)
+      }
       return trySend(address, {method: "POST", path, headers: contentHeaders}, content, timeout)
     },
     close() {
--- a/src/platform/workercalls.ts
+++ b/src/platform/workercalls.ts
@@ -1,6 +1,7 @@
 /**
  * Implements `WorkerCalls` over the workers' HTTP interface. Each call names the worker that it is meant for, so that
- * another worker that has taken over the address refuses it.
+ * another worker that has taken over the address refuses it. A worker that has restarted keeps its name; its
+ * incarnations are told apart by their connections, since none outlives the process that it leads to.
  */
 import {err, ok} from "neverthrow"
 import type {Result} from "neverthrow"
@@ -10,13 +11,13 @@
 import type {
   EndedTask,
   CommandAnswer,
-  ReportAnswer,
   RunningTask,
   StartAnswer,
   WorkerCalls,
+  WorkerReport,
   WorkerTarget,
 } from "../pipelines/ports.js"
-import type {JsonClient, JsonReply} from "./http.js"
+import type {Connection, JsonClient, JsonReply} from "./http.js"
 import {asArray, asNumber, asObject, asString} from "./wire.js"
 
 /**
@@ -26,6 +27,7 @@
 const ORDER_TIMEOUT_MS: Milliseconds = 500
 /** How much longer than the requested wait a report may take. */
 const REPORT_SLACK_MS: Milliseconds = 350
+const REPORT_PATH = "/api/hold"
 
 const STATUS_OK = 200
 const STATUS_CONFLICT = 409
@@ -77,16 +79,13 @@
   return {type: "refused", reason}
 }
 
-function readReport(body: unknown): ReportAnswer {
+function readReport(body: unknown): WorkerReport {
   const fields = asObject(body)
   return {
-    type: "report",
-    report: {
-      clock: asNumber(fields.ServerTimeMs),
-      bornAt: asNumber(fields.born),
-      running: asArray(fields.Running).map(readRunning),
-      ended: asArray(fields.Finished).map(readEnded),
-    },
+    clock: asNumber(fields.ServerTimeMs),
+    bornAt: asNumber(fields.born),
+    running: asArray(fields.Running).map(readRunning),
+    ended: asArray(fields.Finished).map(readEnded),
   }
 }
 
@@ -94,15 +93,51 @@
   return {"X-Lacewingstream-Expect-Instance": target.id}
 }
 
-/** Creates a client for all workers. */
-export function workerCalls(client: JsonClient): WorkerCalls {
-  async function post(
+/**
+ * Creates a client for all workers. Reports that only tell to which incarnation a new connection leads go through
+ * `identityClient`, since such connections may occupy all those of `client`.
+ */
+export function workerCalls(client: JsonClient, identityClient: JsonClient): WorkerCalls {
+  /** The incarnation of the worker that each connection leads to, where it is known. */
+  const incarnations = new WeakMap<Connection, number>()
+  /** Reads of a worker's incarnation that have not been sent yet, by worker. */
+  const unsentReads = new Map<string, Promise<number | undefined>>()
+
+  /** The present incarnation of the worker; undefined if the worker does not tell. */
+  function readIncarnation(target: WorkerTarget, term: number): Promise<number | undefined> {
+    const unsent = unsentReads.get(target.id)
+    if (unsent) return unsent
+    const forgetUnsent = (): void => {
+      if (unsentReads.get(target.id) === read) unsentReads.delete(target.id)
+    }
+    const bodyFor = (): unknown => {
+      forgetUnsent()
+      return {FencingToken: term, Observed: 0}
+    }
+    const read = identityClient
+      .post(target.address, REPORT_PATH, bodyFor, ORDER_TIMEOUT_MS, headersFor(target))
+      .then(reply => {
+        forgetUnsent()
+        if (reply.isErr() || reply.value.status !== STATUS_OK) return undefined
+        return asNumber(asObject(reply.value.body).born)
+      })
+    unsentReads.set(target.id, read)
+    return read
+  }
+
+  /**
+   * True if the connection leads to the given incarnation. A worker that is asked after the connection was established
+   * and names this incarnation has not restarted since.
+   */
+  async function confirmIncarnation(
+    connection: Connection,
     target: WorkerTarget,
-    path: string,
-    body: unknown,
-    timeout: Milliseconds,
-  ): Promise<Result<JsonReply, CallFailed>> {
-    return client.call("POST", target.address, path, body, timeout, headersFor(target))
+    incarnation: number,
+    term: number,
+  ): Promise<boolean> {
+    const isConfirmed = (await readIncarnation(target, term)) === incarnation
+    if (isConfirmed) incarnations.set(connection, incarnation)
+    return isConfirmed
   }
 
   function unexpectedStatus(target: WorkerTarget, reply: JsonReply): CallFailed {
@@ -114,7 +149,7 @@
     path: string,
     body: unknown,
   ): Promise<Result<CommandAnswer, CallFailed>> {
-    const reply = await post(target, path, body, ORDER_TIMEOUT_MS)
+    const reply = await client.call("POST", target.address, path, body, ORDER_TIMEOUT_MS, headersFor(target))
     if (reply.isErr()) return err(reply.error)
     switch (reply.value.status) {
       case STATUS_OK:
@@ -130,16 +165,27 @@
 
   return {
     async report(target, request) {
-      const bodyFor = (connectedAt: Milliseconds) => ({
-        FencingToken: request.term,
-        Observed: connectedAt < request.lastReportAt ? request.acknowledged : 0,
-        ...(request.deadline === undefined ? {} : {DeadlineMs: request.deadline}),
-        ...(request.wait > 0 ? {WaitMs: request.wait} : {}),
-      })
+      let connection: Connection | undefined
+      const bodyFor = (carrier: Connection): unknown => {
+        connection = carrier
+        // Over a connection that may lead to another incarnation, the worker is only asked who it is, without a wait.
+        if (incarnations.get(carrier) !== request.incarnation)
+          return {FencingToken: request.term, Observed: 0}
+        return {
+          FencingToken: request.term,
+          Observed: request.acknowledged,
+          ...(request.deadline === undefined ? {} : {DeadlineMs: request.deadline}),
+          ...(request.wait > 0 ? {WaitMs: request.wait} : {}),
+        }
+      }
       const timeout = request.wait + REPORT_SLACK_MS
-      const reply = await client.post(target.address, "/api/hold", bodyFor, timeout, headersFor(target))
+      const reply = await client.post(target.address, REPORT_PATH, bodyFor, timeout, headersFor(target))
       if (reply.isErr()) return err(reply.error)
-      if (reply.value.status === STATUS_OK) return ok(readReport(reply.value.body))
+      if (reply.value.status === STATUS_OK) {
+        const report = readReport(reply.value.body)
+        if (connection) incarnations.set(connection, report.bornAt)
+        return ok({type: "report", report})
+      }
       if (reply.value.status === STATUS_MISDIRECTED_REQUEST) return ok({type: "replaced"})
       if (reply.value.status === STATUS_CONFLICT) return ok({type: "superseded"})
       return err(unexpectedStatus(target, reply.value))
@@ -154,7 +200,20 @@
         ...(start.ticket === "" ? {} : {Ticket: start.ticket}),
         ...(start.checkpoint === "" ? {} : {Checkpoint: start.checkpoint}),
       }
-      const reply = await post(target, "/api/run-start", body, start.timeout)
+      const bodyFor = (connection: Connection): unknown => {
+        const known = incarnations.get(connection)
+        if (known !== undefined) return known === start.incarnation ? body : undefined
+        return confirmIncarnation(connection, target, start.incarnation, start.term).then(isConfirmed =>
+          isConfirmed ? body : undefined,
+        )
+      }
+      const reply = await client.post(
+        target.address,
+        "/api/run-start",
+        bodyFor,
+        start.timeout,
+        headersFor(target),
+      )
       if (reply.isErr()) return err(reply.error)
       const {status} = reply.value
       if (status === STATUS_OK) return ok({type: "started"})
--- a/src/relay/carrier.ts
+++ b/src/relay/carrier.ts
@@ -57,9 +57,8 @@
   async function makeCall(term: number, {target, order}: RelayedCall): Promise<RelayedResult> {
     switch (order.type) {
       case "report": {
-        const sentAt = clock.now()
         const answer = await workers.report(target, {...order.request, term})
-        return answer.isOk() ? {type: "report", answer: answer.value, sentAt} : toFailure(answer.error)
+        return answer.isOk() ? {type: "report", answer: answer.value} : toFailure(answer.error)
       }
       case "start": {
         const answer = await workers.start(target, {...order.order, term})
--- a/src/relay/channel.ts
+++ b/src/relay/channel.ts
@@ -2,7 +2,6 @@
  * A relay is an instance that carries the leader's calls to a share of the workers. Calls and answers travel in batches
  * over one channel for each relay, so that the leader has a few busy channels in place of a connection to each worker.
  */
-import type {Milliseconds} from "../core/clock.js"
 import type {Member} from "../peer/fleet.js"
 import type {
   CommandAnswer,
@@ -13,7 +12,7 @@
   WorkerTarget,
 } from "../pipelines/ports.js"
 
-/** One call to a worker. The term is that of the channel; `lastReportAt` is on the clock of the relay. */
+/** One call to a worker. The term is that of the channel. */
 export type RelayedOrder =
   | {readonly type: "report"; readonly request: Omit<ReportRequest, "term">}
   | {readonly type: "start"; readonly order: Omit<StartRequest, "term">}
@@ -28,8 +27,7 @@
 }
 
 export type RelayedResult =
-  /** `sentAt` is when the relay requested the report, on its own clock. */
-  | {readonly type: "report"; readonly answer: ReportAnswer; readonly sentAt: Milliseconds}
+  | {readonly type: "report"; readonly answer: ReportAnswer}
   | {readonly type: "start"; readonly answer: StartAnswer}
   | {readonly type: "command"; readonly answer: CommandAnswer}
   /** With `isUnsent`, the call cannot have reached the worker. */
--- a/src/relay/dispatcher.ts
+++ b/src/relay/dispatcher.ts
@@ -81,12 +81,6 @@
   readonly since: Milliseconds
 }
 
-/** Through whom a worker's last report came, and when it was requested, on the clock of that instance. */
-interface LastReport {
-  readonly by: Session | "direct"
-  readonly sentAt: Milliseconds
-}
-
 export function createRelayDispatcher(ports: RelayDispatcherPorts): RelayDispatcher {
   const {clock, log, term, direct, candidates, countWorkers} = ports
   const sessions = new Map<string, Session>()
@@ -94,7 +88,6 @@
   /** The present relay of each worker; emptied when relays come or go. */
   const routes = new Map<string, Session | "direct">()
   const failedRoutes = new Map<string, FailedRoutes>()
-  const lastReports = new Map<string, LastReport>()
   let lastId = 0
   let isClosed = false
 
@@ -234,32 +227,17 @@
     return result.type === "command" ? ok(result.answer) : err(toCallFailed(session, result))
   }
 
-  /**
-   * Reports are acknowledged only through the instance that the last one came through. Another one cannot tell whether
-   * its connection is older than that report, and so whether it leads to the same incarnation of the worker.
-   */
   async function report(
     target: WorkerTarget,
     request: ReportRequest,
   ): Promise<Result<ReportAnswer, CallFailed>> {
     const route = routeOf(target.id)
-    const last = lastReports.get(target.id)
-    const isSame = last?.by === route
-    const acknowledged = isSame ? request.acknowledged : 0
-    if (route === "direct") {
-      const answer = await direct.report(target, {...request, acknowledged})
-      if (answer.isOk()) lastReports.set(target.id, {by: route, sentAt: request.lastReportAt})
-      return answer
-    }
-    const {deadline, wait} = request
-    const lastReportAt = isSame ? last.sentAt : 0
-    const order: RelayedOrder = {type: "report", request: {acknowledged, deadline, wait, lastReportAt}}
-    const result = await send(route, target, order)
+    if (route === "direct") return direct.report(target, request)
+    const result = await send(route, target, {type: "report", request})
     if (result.type !== "report") {
       recordFailure(target.id, route)
       return err(toCallFailed(route, result))
     }
-    lastReports.set(target.id, {by: route, sentAt: result.sentAt})
     return ok(result.answer)
   }
 
@@ -315,7 +293,6 @@
     forget(worker) {
       routes.delete(worker)
       failedRoutes.delete(worker)
-      lastReports.delete(worker)
     },
     countRelays: () => usableNames().length,
     close() {
--- a/test/fleet/carrier.test.ts
+++ b/test/fleet/carrier.test.ts
@@ -12,6 +12,7 @@
     task: `5c0e7a21d94b36f8.0.0.${id}`,
     attempt: 1,
     payload: "",
+    incarnation: 1,
     deadline: 9000,
     ticket: "",
     checkpoint: "",
--- a/test/fleet/failures.test.ts
+++ b/test/fleet/failures.test.ts
@@ -155,6 +155,7 @@
   while (!hasEnded()) await fleet.clock.advance(1)
   fleet.workers.crash("worker-1")
   fleet.workers.restart("worker-1")
+  fleet.register(fleet.workers.listing("worker-1"))
   await fleet.clock.advance(400)
   fleet.store.setMode("up")
   await fleet.clock.advance(4000)
@@ -163,6 +164,37 @@
   t.is(fleet.workers.startCounts().get(`${job.id}.0.1.0`), 1)
 })
 
+// The orders that reached the new incarnation had deadlines on the clock of the former one, so that the tasks ran on for the
+// longest lease while the leader had started them elsewhere.
+test("a worker that restarts under orders and is then cut off runs no task that runs elsewhere", async t => {
+  const fleet = testFleet({workers: 4, planOf: () => ({demand: STEP.demand, duration: 9000})})
+  await fleet.clock.advance(30_000)
+  const jobs = Array.from({length: 24}, (_, index) => jobOf(1800 + index, [{estimate: 9000}]))
+  const submitted: Promise<unknown>[] = []
+  async function submitDuring(count: number): Promise<void> {
+    for (const job of jobs.slice(submitted.length, submitted.length + count)) {
+      submitted.push(fleet.instance("entry-1").intake.submit(job, 3000))
+      await fleet.clock.advance(50)
+    }
+  }
+  await submitDuring(2)
+  fleet.workers.disconnect("worker-1")
+  fleet.workers.crash("worker-1")
+  fleet.workers.restart("worker-1")
+  fleet.register(fleet.workers.listing("worker-1"))
+  await submitDuring(2)
+  fleet.workers.reconnect("worker-1")
+  await submitDuring(8)
+  fleet.workers.disconnect("worker-1")
+  await submitDuring(12)
+  await fleet.clock.advance(5000)
+  fleet.workers.reconnect("worker-1")
+  await fleet.clock.advance(14_000)
+  await Promise.all(submitted)
+  for (const job of jobs) t.is(await fleet.stateAt("entry-1", job), "completed")
+  t.deepEqual(fleet.workers.violations(), [])
+})
+
 test("a worker out of the new leader's reach keeps its tasks until the former leader's leases expire", async t => {
   const fleet = testFleet({workers: 2, planOf: () => ({demand: STEP.demand, duration: 4000})})
   await fleet.clock.advance(1000)
--- a/test/fleet/relaychannel.test.ts
+++ b/test/fleet/relaychannel.test.ts
@@ -14,18 +14,22 @@
   {
     id: 1,
     target: TARGET,
-    order: {type: "report", request: {acknowledged: 57, lastReportAt: 12.5, deadline: 9000, wait: 400}},
+    order: {
+      type: "report",
+      request: {acknowledged: 57, incarnation: 1_786_089_696_053, deadline: 9000, wait: 400},
+    },
   },
   {
     id: 2,
     target: TARGET,
-    order: {type: "report", request: {acknowledged: 0, lastReportAt: 0, deadline: undefined, wait: 0}},
+    order: {type: "report", request: {acknowledged: 0, incarnation: 0, deadline: undefined, wait: 0}},
   },
   ...[3, 4].map((id): RelayedCall => {
     const order = {
       task: `5c0e7a21d94b36f8.0.0.${id}`,
       attempt: 2 ** 40,
       payload: "payload",
+      incarnation: 1_786_089_696_053,
       deadline: 9000,
       ticket: "ticket",
       checkpoint: "",
@@ -38,7 +42,7 @@
   {
     id: 7,
     target: TARGET,
-    order: {type: "report", request: {acknowledged: 0, lastReportAt: 0, deadline: 1, wait: 0}},
+    order: {type: "report", request: {acknowledged: 0, incarnation: 0, deadline: 1, wait: 0}},
   },
   {id: 8, target: TARGET, order: {type: "stop", task: "5c0e7a21d94b36f8.0.0.9", attempt: 1}},
 ]
@@ -46,7 +50,6 @@
 const RESULTS: readonly RelayedResult[] = [
   {
     type: "report",
-    sentAt: 30.25,
     answer: {
       type: "report",
       report: {
@@ -57,7 +60,7 @@
       },
     },
   },
-  {type: "report", answer: {type: "superseded"}, sentAt: 0},
+  {type: "report", answer: {type: "superseded"}},
   {type: "start", answer: {type: "started"}},
   {type: "start", answer: {type: "refused", reason: "room"}},
   {type: "command", answer: "done"},
--- a/test/fleet/relaydispatcher.test.ts
+++ b/test/fleet/relaydispatcher.test.ts
@@ -10,10 +10,9 @@
 
 const REPORT: RelayedResult = {
   type: "report",
-  sentAt: 40,
   answer: {type: "report", report: {clock: 1, bornAt: 1, running: [], ended: []}},
 }
-const REQUEST: ReportRequest = {term: 7, acknowledged: 57, lastReportAt: 900, deadline: 5000, wait: 0}
+const REQUEST: ReportRequest = {term: 7, acknowledged: 57, incarnation: 3, deadline: 5000, wait: 0}
 
 function memberOf(name: string): Member {
   return {name, address: `${name}:7000`, processors: 1}
@@ -80,32 +79,19 @@
   t.not(used, "")
 })
 
-test("ends are acknowledged only through the relay that read the last report", async t => {
+test("whoever carries a report call is told which incarnation of the worker it is meant for", async t => {
   const {clock, dispatcher, listeners, sentTo, showLife, direct} = setUp([memberOf("entry-2")], 80)
   dispatcher.check()
   showLife("entry-2")
-  async function requestThrough(): Promise<RelayedCall | undefined> {
-    const answer = dispatcher.calls.report(TARGET, REQUEST)
-    await clock.advance(10)
-    const call = sentTo("entry-2").at(-1)
-    if (call) listeners.get("entry-2")?.onBatch({answers: [{id: call.id, result: REPORT}], isLeaving: false})
-    await answer
-    return call
-  }
-  const orders = [await requestThrough(), await requestThrough()].map(call => call?.order)
-  t.like(orders, [
-    {type: "report", request: {acknowledged: 0, lastReportAt: 0}},
-    {type: "report", request: {acknowledged: 57, lastReportAt: 40}},
-  ])
-  dispatcher.forget(TARGET.id)
-  t.like((await requestThrough())?.order, {type: "report", request: {acknowledged: 0, lastReportAt: 0}})
+  const answer = dispatcher.calls.report(TARGET, REQUEST)
+  await clock.advance(10)
+  const [call] = sentTo("entry-2")
+  if (call) listeners.get("entry-2")?.onBatch({answers: [{id: call.id, result: REPORT}], isLeaving: false})
+  t.true((await answer).isOk())
+  t.like(call?.order, {type: "report", request: {acknowledged: 57, incarnation: 3, deadline: 5000}})
   listeners.get("entry-2")?.onClosed("connection reset")
   await dispatcher.calls.report(TARGET, REQUEST)
-  await dispatcher.calls.report(TARGET, REQUEST)
-  t.deepEqual(
-    direct.map(({acknowledged}) => acknowledged),
-    [0, 57],
-  )
+  t.deepEqual(direct, [REQUEST])
 })
 
 test("a relay is given up after two silent checks, so that a leader that was busy reads first", async t => {
--- a/test/platform/calls.test.ts
+++ b/test/platform/calls.test.ts
@@ -6,6 +6,7 @@
 import type {Server} from "node:http"
 import type {AddressInfo} from "node:net"
 import test from "ava"
+import type {ExecutionContext} from "ava"
 import {err, ok} from "neverthrow"
 import {SILENT_LOGGER} from "../../src/core/logger.js"
 import {CallFailed, StoreUnavailable} from "../../src/core/errors.js"
@@ -71,6 +72,35 @@
   return {address, requests, close: () => close(server)}
 }
 
+/** Starts a worker that records what it is asked, with its incarnations numbered from 1, and a client for it. */
+async function startRestartableWorker(t: ExecutionContext) {
+  const requests: Readonly<Record<string, unknown>>[] = []
+  let born = 1
+  const server = createServer((request, response) => {
+    request.setEncoding("utf8").on("data", (text: string) => {
+      requests.push({...(JSON.parse(text) as object), path: request.url})
+      response.end(JSON.stringify({ServerTimeMs: 1, born, Running: [], Finished: []}))
+    })
+  })
+  const address = await bind(server)
+  const clients = [jsonClient(), jsonClient(1)] as const
+  t.teardown(async () => {
+    close(server)
+    for (const client of clients) await client.close()
+  })
+  return {
+    target: {id: "worker", address},
+    requests,
+    calls: workerCalls(...clients),
+    starts: () => requests.filter(({path}) => path === "/api/run-start"),
+    async restart() {
+      born += 1
+      server.closeAllConnections()
+      await new Promise(resolve => setTimeout(resolve, 50))
+    },
+  }
+}
+
 function encodeBase64(value: string): string {
   return Buffer.from(value).toString("base64")
 }
@@ -161,6 +191,7 @@
     Finished: [[58, "t.0.0.2", 1, "done", ""]],
   }
   const server = await startScriptedServer([
+    {status: 200, body: rows},
     {status: 200, body: rows},
     {status: 409, body: {Reason: "fence"}},
     {status: 421},
@@ -173,9 +204,11 @@
     {status: 409, body: {Reason: "fence"}},
     {status: 200},
   ])
-  const calls = workerCalls(jsonClient())
+  const calls = workerCalls(jsonClient(), jsonClient())
   const target = {id: "i-7f", address: server.address}
-  const request = {term: 7, acknowledged: 57, lastReportAt: Infinity, deadline: 486_000, wait: 900}
+  const request = {term: 7, acknowledged: 57, incarnation: 77, deadline: 486_000, wait: 900}
+  const first = {...request, acknowledged: 0, incarnation: 0, deadline: undefined, wait: 0}
+  t.snapshot((await calls.report(target, first))._unsafeUnwrap())
   t.snapshot((await calls.report(target, request))._unsafeUnwrap())
   t.deepEqual((await calls.report(target, {...request, deadline: undefined, wait: 0}))._unsafeUnwrap(), {
     type: "superseded",
@@ -185,6 +218,7 @@
     task: "t.0.0.1",
     attempt: 2,
     payload: "p",
+    incarnation: 77,
     deadline: 486_000,
     term: 7,
     ticket: "k",
@@ -204,30 +238,68 @@
 })
 
 test("no end is acknowledged over a connection that may lead to a later incarnation of the worker", async t => {
-  const observed: unknown[] = []
-  const server = createServer((request, response) => {
-    request.setEncoding("utf8").on("data", (text: string) => {
-      observed.push((JSON.parse(text) as {readonly Observed: unknown}).Observed)
-      response.end(JSON.stringify({ServerTimeMs: 1, born: 1, Running: [], Finished: []}))
-    })
-  })
-  const address = await bind(server)
-  t.teardown(() => close(server))
-  const client = jsonClient()
-  t.teardown(() => client.close())
-  let lastReportAt = -Infinity
-  const report = async (): Promise<void> => {
-    const sentAt = performance.now()
-    // The timeout follows the wait; the server answers at once.
-    const request = {term: 7, acknowledged: 57, lastReportAt, deadline: undefined, wait: 10_000}
-    t.true((await workerCalls(client).report({id: "worker", address}, request)).isOk())
-    lastReportAt = sentAt
+  const worker = await startRestartableWorker(t)
+  const {calls} = worker
+  const report = async (incarnation: number): Promise<void> => {
+    // The timeout follows the wait; the worker answers at once.
+    const request = {term: 7, acknowledged: 57, incarnation, deadline: 486_000, wait: 10_000}
+    t.true((await calls.report(worker.target, request)).isOk())
   }
-  for (let count = 0; count < 3; count += 1) await report()
-  server.closeAllConnections()
-  await new Promise(resolve => setTimeout(resolve, 50))
-  for (let count = 0; count < 3; count += 1) await report()
-  t.deepEqual(observed, [0, 0, 57, 0, 0, 57])
+  for (const incarnation of [0, 1, 1]) await report(incarnation)
+  await worker.restart()
+  for (const incarnation of [1, 1, 2]) await report(incarnation)
+  const seen = worker.requests.map(({Observed, DeadlineMs, WaitMs}) => [Observed, DeadlineMs, WaitMs])
+  const asked = [0, undefined, undefined]
+  const full = [57, 486_000, 10_000]
+  t.deepEqual(seen, [asked, full, full, asked, asked, full], "nor is a lease extended or a wait asked for")
+})
+
+// A worker that had restarted took a start order with a deadline on the clock of its former life, and ran the task for the
+// longest lease while its leader had given it up after a short one and started it elsewhere.
+test("a start order reaches only the incarnation of the worker that its deadline was chosen for", async t => {
+  const worker = await startRestartableWorker(t)
+  const {calls, target} = worker
+  const order = {
+    task: "t.0.0.1",
+    attempt: 1,
+    payload: "",
+    incarnation: 1,
+    deadline: 605_000,
+    term: 7,
+    ticket: "",
+    checkpoint: "",
+    timeout: 5000,
+  }
+  const started = await Promise.all([1, 2, 3].map(attempt => calls.start(target, {...order, attempt})))
+  for (const answer of started) t.deepEqual(answer._unsafeUnwrap(), {type: "started"})
+  t.true(worker.starts().length === 3, "new connections of the same incarnation are used")
+  await worker.restart()
+  t.is((await calls.start(target, order))._unsafeUnwrapErr().certainty, "not-run")
+  const request = {term: 7, acknowledged: 0, incarnation: 1, deadline: undefined, wait: 0}
+  t.true((await calls.report(target, request)).isOk(), "the connection leads to the later incarnation")
+  t.is((await calls.start(target, order))._unsafeUnwrapErr().certainty, "not-run")
+  t.is(worker.starts().length, 3)
+  t.true((await calls.start(target, {...order, incarnation: 2})).isOk())
+  t.is(worker.starts().length, 4)
+})
+
+test("a start order on a new connection to a silent worker is known not to have run", async t => {
+  const silent = createServer(() => undefined)
+  const address = await bind(silent)
+  t.teardown(() => close(silent))
+  const order = {
+    task: "t.0.0.1",
+    attempt: 1,
+    payload: "",
+    incarnation: 1,
+    deadline: 605_000,
+    term: 7,
+    ticket: "",
+    checkpoint: "",
+    timeout: 200,
+  }
+  const calls = workerCalls(jsonClient(), jsonClient(1))
+  t.is((await calls.start({id: "worker", address}, order))._unsafeUnwrapErr().certainty, "not-run")
 })
 
 test("a refused connection fails as not-run, a missing answer as unknown", async t => {
--- a/test/soak/platformserver.ts
+++ b/test/soak/platformserver.ts
@@ -183,7 +183,7 @@
       const reported = await calls.report(target, {
         term,
         acknowledged: Number(body.Observed),
-        lastReportAt: Infinity,
+        incarnation: workers.listing(expected).bornAt,
         deadline: optionalNumber(body.DeadlineMs),
         wait: Number(body.WaitMs ?? 0),
       })
@@ -194,6 +194,7 @@
         task,
         attempt,
         payload: String(body.Spec),
+        incarnation: workers.listing(expected).bornAt,
         deadline: Number(body.DeadlineMs),
         term,
         ticket: typeof body.Ticket === "string" ? body.Ticket : "",
--- a/test/support/fakeworkers.ts
+++ b/test/support/fakeworkers.ts
@@ -257,15 +257,15 @@
               if (incarnation !== worker.bornAt) return "ended"
               if (request.term < worker.highestTerm) return {type: "superseded"}
               worker.highestTerm = request.term
-              // No connection is older than the incarnation that it leads to.
-              const acknowledged = worker.bornAt < request.lastReportAt ? request.acknowledged : 0
+              const isMeant = worker.bornAt === request.incarnation
+              const acknowledged = isMeant ? request.acknowledged : 0
               for (const ended of worker.ended) {
                 if (ended.number <= acknowledged && ended.end === "done")
                   acknowledgedEnds.set(ended.task, `${target.id}, end ${ended.number}, term ${request.term}`)
               }
               worker.ended = worker.ended.filter(ended => ended.number > acknowledged)
-              extendLease(worker, request.deadline)
-              if (worker.ended.length === 0 && clock.now() < until) return undefined
+              if (isMeant) extendLease(worker, request.deadline)
+              if (isMeant && worker.ended.length === 0 && clock.now() < until) return undefined
               const running = [...worker.runs.values()].map(({task, attempt}) => ({
                 task,
                 attempt,
@@ -287,10 +287,18 @@
           await sleep(clock, 10)
         }
       },
-      start: (target, startOrder) =>
-        deliver<StartAnswer>(target.id, target.address, worker => startTask(worker, startOrder), {
-          type: "replaced",
-        }),
+      async start(target, startOrder) {
+        const answer = await deliver<StartAnswer | "another incarnation">(
+          target.id,
+          target.address,
+          worker =>
+            worker.bornAt === startOrder.incarnation ? startTask(worker, startOrder) : "another incarnation",
+          {type: "replaced"},
+        )
+        return answer.andThen(value =>
+          value === "another incarnation" ? err(new CallFailed(target.address, value, "not-run")) : ok(value),
+        )
+      },
       stop: (target, task, attempt, term) =>
         deliver<CommandAnswer>(
           target.id,
