A new leader judges each earlier leader by that one's own followers

Cause: the record of a term named the followers of its own leader only, so that for every leader but the last only the limit of 15 s counted, anew in each term.

Change: the claim and the record of a term carry each earlier leader with its term and with those that may still follow it; instances that have led since count as gone from it, and the limit counts from when this instance knew of a later term. New log events earlier-leaders and earlier-leader-stopped.

--- a/src/planner/barrier.ts
+++ b/src/planner/barrier.ts
@@ -2,12 +2,12 @@
  * The barrier of a new leader. It holds back tasks of inherited jobs while an unreachable worker may still run them for
  * an earlier leader, so that no task runs twice. It is lifted one lease after the last earlier leader has stopped
  * extending leases. An earlier leader has stopped once it follows this leader, once too few followers are left to it
- * and the store has not confirmed it for a while, or, whatever else is known, once the longest time limit has passed.
+ * and the store has not confirmed it for a while, or, whatever else is known, once the longest time limit has passed
+ * since it was replaced.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
-import type {EarlierLeaders} from "./earlierleaders.js"
-import {countMissable} from "./followers.js"
+import type {EarlierLeader} from "./records.js"
 import type {WorkerState} from "./state.js"
 
 /** A leader without an answer of the store for this long no longer extends leases or starts tasks. */
@@ -32,9 +32,10 @@
   readonly blocks: (service: string) => boolean
   /** Number of workers that have not answered this leader. */
   readonly countWorkers: () => number
-  readonly setEarlierLeaders: (leaders: EarlierLeaders) => void
-  /** The names of the earlier leaders that may still act; undefined while they are not known. */
-  readonly earlierLeaders: () => readonly string[] | undefined
+  /** Sets the leaders that may still act when the term begins; undefined if they are not known. */
+  readonly setEarlierLeaders: (leaders: readonly EarlierLeader[] | undefined) => void
+  /** The earlier leaders that may still act, and who may still follow them; undefined while they are not known. */
+  readonly earlierLeaders: () => readonly EarlierLeader[] | undefined
   /** Lifts the barrier once all leases that an earlier leader can have extended must have expired. */
   readonly check: () => void
 }
@@ -45,41 +46,65 @@
   readonly leaseDuration: Milliseconds
   /** True once the instance of this name follows this leader, so that it no longer leads itself. */
   readonly hasJoined: (name: string) => boolean
+  /** When this instance first knew of a term later than the given one, as far as it remembers. */
+  readonly knewLaterTermAt: (term: number) => Milliseconds | undefined
   /** Called when fewer earlier leaders may still act. */
   readonly onChange: () => void
 }
 
 /** Creates the barrier of a leader whose term begins now. */
 export function createBarrier(context: BarrierContext): Barrier {
-  const {clock, log, hasJoined, onChange} = context
+  const {clock, log, hasJoined, knewLaterTermAt, onChange} = context
   const lease = context.leaseDuration * CLOCK_MARGIN
   const startedAt = clock.now()
   const unfencedWorkers = new Set<WorkerState>()
-  let earlierLeaders: readonly string[] | undefined
-  let lastLeader: string | undefined
-  /** The instances that can count as followers of the last leader. */
-  let lastFollowers: readonly string[] = []
-  /** Since when too few followers are left to the last leader. */
-  let isolatedSince: Milliseconds | undefined
+  let earlierLeaders: readonly EarlierLeader[] | undefined
+  /** The term in which each instance last led. */
+  let lastTerms: ReadonlyMap<string, number> = new Map()
+  /** Since when too few followers are left to a leader, by its name. */
+  const isolatedSince = new Map<string, Milliseconds>()
   /** Since when no earlier leader acts. */
   let stoppedSince: Milliseconds | undefined
 
-  function hasStopped(name: string): boolean {
-    if (hasJoined(name)) return true
-    const isIsolated = isolatedSince !== undefined && clock.now() - isolatedSince > ISOLATED_LIMIT_MS
-    return name === lastLeader && isIsolated
+  /** The store confirms no leader that was replaced, so that its limit counts from then at the latest. */
+  function hasPassedLimit({term}: Partial<EarlierLeader>): boolean {
+    const replacedAt = term === undefined ? undefined : knewLaterTermAt(term)
+    return clock.now() - Math.min(startedAt, replacedAt ?? startedAt) > UNCONFIRMED_LIMIT_MS
+  }
+
+  /** Why an earlier leader must have stopped; undefined if it may still act. */
+  function findStopReason(leader: EarlierLeader): "follows" | "isolated" | "limit-passed" | undefined {
+    if (hasJoined(leader.name)) return "follows"
+    if (hasPassedLimit(leader)) return "limit-passed"
+    const since = isolatedSince.get(leader.name)
+    return since !== undefined && clock.now() - since > ISOLATED_LIMIT_MS ? "isolated" : undefined
+  }
+
+  /** Leaves out followers that now follow this leader or have led later, since none of them returns. */
+  function updateFollowing(leader: EarlierLeader): EarlierLeader {
+    const {name, term, following} = leader
+    if (!following || term === undefined) return leader
+    const names = following.names.filter(one => !hasJoined(one) && !((lastTerms.get(one) ?? 0) > term))
+    if (names.length <= following.missable && !isolatedSince.has(name)) isolatedSince.set(name, clock.now())
+    return {...leader, following: {...following, names}}
   }
 
   function updateEarlierLeaders(): void {
-    const now = clock.now()
-    const missing = lastFollowers.filter(name => !hasJoined(name)).length
-    if (earlierLeaders && missing <= countMissable(lastFollowers.length)) isolatedSince ??= now
-    const remaining =
-      now - startedAt > UNCONFIRMED_LIMIT_MS ? [] : earlierLeaders?.filter(name => !hasStopped(name))
-    if (remaining?.length === 0) stoppedSince ??= now
-    if (remaining?.length === earlierLeaders?.length) return
-    earlierLeaders = remaining
-    onChange()
+    const before = earlierLeaders?.length
+    if (!earlierLeaders && hasPassedLimit({})) earlierLeaders = []
+    earlierLeaders = earlierLeaders?.map(updateFollowing).filter(leader => {
+      const reason = findStopReason(leader)
+      if (reason) {
+        const after = Math.round(clock.now() - startedAt)
+        log.info(
+          {event: "earlier-leader-stopped", leader: leader.name, ledTerm: leader.term, reason, after},
+          "an earlier leader no longer extends leases",
+        )
+      }
+      return !reason
+    })
+    if (earlierLeaders?.length === 0) stoppedSince ??= clock.now()
+    if (earlierLeaders?.length !== before) onChange()
   }
 
   return {
@@ -91,10 +116,10 @@
       return false
     },
     countWorkers: () => unfencedWorkers.size,
-    setEarlierLeaders({names, last, followers}) {
-      earlierLeaders = names
-      lastLeader = last
-      lastFollowers = followers
+    setEarlierLeaders(leaders) {
+      earlierLeaders = leaders
+      lastTerms = new Map(leaders?.map(({name, term}) => [name, term ?? 0]))
+      log.info({event: "earlier-leaders", leaders}, "leaders of earlier terms that may still extend leases")
     },
     earlierLeaders: () => earlierLeaders,
     check() {
--- a/src/planner/earlierleaders.ts
+++ b/src/planner/earlierleaders.ts
@@ -1,23 +1,28 @@
 /**
- * Which leaders of earlier terms may still extend leases. The claim of a leader names those before it, in the same write
- * that makes it the leader, so that its successor knows them even if it fails at once. The record of the term, which it
- * writes later, leaves out those that have stopped since.
+ * Which leaders of earlier terms may still extend leases, and who may still follow them. The claim of a leader names those
+ * before it, in the same write that makes it the leader, so that its successor knows them even if it fails at once. The
+ * record of the term, which it writes later, leaves out those that have stopped since, and names its own followers.
  */
 import type {StoredItem} from "../pipelines/ports.js"
-import type {FormerTerm} from "./records.js"
+import {countMissable} from "./followers.js"
+import type {EarlierLeader, FormerTerm, TermRecord} from "./records.js"
 import {parseLeader, parseTerm} from "./records.js"
 import type {StoredWork} from "./storedwork.js"
 
-type Names = readonly string[] | undefined
+/** Undefined if the leaders are not known. */
+type EarlierLeaders = readonly EarlierLeader[] | undefined
 
 /** The term that the first claim of all replaces. */
 export const NO_FORMER_TERM: FormerTerm = {term: 0, leader: undefined, earlierLeaders: []}
 
-/** The leaders before a claim that replaced the given term; undefined if they are not known. */
-function listLeadersBefore(former: FormerTerm | undefined): Names {
+/** The leaders before a claim that replaced the given term, in the order of their terms. */
+function listLeadersBefore(former: FormerTerm | undefined): EarlierLeaders {
   if (former?.term === 0) return []
-  if (former?.leader === undefined || !former.earlierLeaders) return undefined
-  return [...new Set([...former.earlierLeaders, former.leader])]
+  const {leader, earlierLeaders} = former ?? {}
+  if (leader === undefined || !earlierLeaders) return undefined
+  // An instance that has led again acts in its later term only.
+  const others = earlierLeaders.filter(({name}) => name !== leader)
+  return [...others, {name: leader, term: former?.term}]
 }
 
 /** Describes the present term for a claim that replaces it, from the leader key and the record of the term, if any. */
@@ -32,27 +37,36 @@
   }
 }
 
-/** What a new leader knows of those before it. */
-export interface EarlierLeaders {
-  /** The names of those that may still act; undefined if they are not known. */
-  readonly names: Names
-  /** The leader of the preceding term. */
-  readonly last: string | undefined
-  /** The instances that can count as followers of the last leader. */
-  readonly followers: readonly string[]
+/**
+ * Adds who may follow the leaders, by the last record that was written. Its writer knew who may follow the leaders before
+ * it. Those after it have written no record, so that nobody counts as their follower.
+ */
+function addFollowing(leaders: readonly EarlierLeader[], record: TermRecord | undefined): EarlierLeaders {
+  const withoutFollowers = {names: [], missable: 0}
+  const complete = leaders.map((leader): EarlierLeader => {
+    const {term, following} = leader
+    if (term === undefined) return leader
+    if (term > (record?.term ?? 0)) return {...leader, following: withoutFollowers}
+    if (term !== record?.term) return {...leader, following}
+    const {followers: names} = record
+    return {...leader, following: {names, missable: countMissable(names.length)}}
+  })
+  const writer = leaders.findIndex(({term}) => term !== undefined && term === record?.term)
+  const before = writer < 0 ? undefined : record?.earlierLeaders
+  if (!before) return complete
+  const later = complete.slice(writer)
+  return [...before.filter(({name}) => later.every(other => other.name !== name)), ...later]
 }
 
-/** Reads what is known of the leaders before the one that the stored work names. */
-export function findEarlierLeaders({leader, roster, term}: StoredWork): EarlierLeaders {
+/** Reads which leaders before the one that the stored work names may still act; undefined if they are not known. */
+export function findEarlierLeaders({leader, roster, term: record}: StoredWork): EarlierLeaders {
   const former = leader?.former
   // Workers that nobody can have recorded show that the leader key was lost.
-  if (former?.term === 0 && roster.length > 0) return {names: undefined, last: undefined, followers: []}
-  if (!former || term?.term !== former.term)
-    return {names: listLeadersBefore(former), last: former?.leader, followers: []}
-  const earlierLeaders = term.earlierLeaders ?? former.earlierLeaders
-  return {
-    names: listLeadersBefore({...former, earlierLeaders}),
-    last: former.leader,
-    followers: term.followers,
-  }
+  if (former?.term === 0 && roster.length > 0) return undefined
+  const leaders = listLeadersBefore(
+    former && record?.term === former.term
+      ? {...former, earlierLeaders: record.earlierLeaders ?? former.earlierLeaders}
+      : former,
+  )
+  return leaders && addFollowing(leaders, record)
 }
--- a/src/planner/instance.ts
+++ b/src/planner/instance.ts
@@ -128,6 +128,7 @@
         isStoreFailing: () => storeHealth.failingFor() > 0,
         self: identity.member.name,
         confirmedAt,
+        knewLaterTermAt: leadership.knewLaterTermAt,
         adviceRequesters: askers,
         openChannel: ({address}, forTerm, listener) => clients.reach(address).openChannel(forTerm, listener),
         otherMembers: leadership.others,
--- a/src/planner/leadership.ts
+++ b/src/planner/leadership.ts
@@ -48,6 +48,8 @@
 export interface Leadership {
   readonly leader: () => LeaderView | undefined
   readonly isLeader: () => boolean
+  /** When this instance first knew of a term later than the given one, as far as it remembers. */
+  readonly knewLaterTermAt: (term: number) => Milliseconds | undefined
   /** Time since the leader last answered a ping; 0 on the leader itself. */
   readonly timeSinceLeaderAnswer: () => Milliseconds
   /** Time since the leader last answered a ping or announced itself; 0 on the leader itself. */
@@ -71,6 +73,8 @@
   readonly stop: () => void
 }
 
+/** Number of terms of which an instance remembers when it first knew of them. */
+const REMEMBERED_TERMS = 64
 const PING_INTERVAL_MS: Milliseconds = 200
 /** With more members than this, each pings less often, so that the rate of pings at the leader stays the same. */
 const MEMBERS_AT_FULL_RATE = 11
@@ -146,8 +150,17 @@
   let isolatedSince: Milliseconds | undefined
   const members = createMembers(clock, self, ports.seeds)
 
+  /** The terms that this instance has known of, in order, with the times at which it first did. */
+  let knownTerms: readonly {readonly term: number; readonly since: Milliseconds}[] = []
+
+  function recordTerm(term: number): void {
+    if (term <= (knownTerms.at(-1)?.term ?? 0)) return
+    knownTerms = [...knownTerms, {term, since: clock.now()}].slice(-REMEMBERED_TERMS)
+  }
+
   function followLeader(term: number, member: Member, isNew: boolean): void {
     if ((currentLeader && term <= currentLeader.term) || member.name === self.name) return
+    recordTerm(term)
     currentLeader = {term, member}
     const hasLed = isLeading
     isLeading = false
@@ -219,6 +232,7 @@
     if (isLeading && currentLeader?.term === term) return
     // The reply to a claim came after another instance had taken over.
     if (currentLeader && currentLeader.term > term) return
+    recordTerm(term)
     members.startTerm()
     currentLeader = {term, member: self}
     isLeading = true
@@ -441,6 +455,7 @@
   return {
     leader: () => currentLeader,
     isLeader: () => isLeading,
+    knewLaterTermAt: term => knownTerms.find(known => known.term > term)?.since,
     timeSinceLeaderAnswer: () => (isLeading ? 0 : clock.now() - leaderAnsweredAt),
     timeSinceLeaderHeard: () => (isLeading ? 0 : clock.now() - leaderHeardAt),
     recordAnnouncement(term, sender) {
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -59,6 +59,8 @@
   readonly self: string
   /** When the call was sent that the store answered with this instance as the leader. */
   readonly confirmedAt: Milliseconds
+  /** When this instance first knew of a term later than the given one, as far as it remembers. */
+  readonly knewLaterTermAt: (term: number) => Milliseconds | undefined
   /** Called once when another instance leads a later term. */
   readonly onSuperseded: () => void
 }
@@ -132,6 +134,7 @@
     log,
     leaseDuration: limits.leaseDuration,
     hasJoined: name => name === ports.self || followers.hasJoined(name),
+    knewLaterTermAt: ports.knewLaterTermAt,
     onChange: () => writeTerm(followers.current()),
   })
   const adviceDispatcher = createAdviceDispatcher(clock, log, adviceRequesters)
--- a/src/planner/records.ts
+++ b/src/planner/records.ts
@@ -42,14 +42,30 @@
   readonly writtenAt: number
 }
 
+/** A leader of an earlier term that may still act. */
+export interface EarlierLeader {
+  readonly name: string
+  /** The term that it led; undefined in the records of earlier versions. */
+  readonly term?: number | undefined
+  /** Those that may still follow it; undefined if they are not known. */
+  readonly following?: Following | undefined
+}
+
+/** The instances that may still follow a leader, of those that it has recorded as its followers. */
+export interface Following {
+  readonly names: readonly string[]
+  /** With no more followers than this, the leader soon stops when the store does not answer it. */
+  readonly missable: number
+}
+
 /** The term that a claim to lead has replaced. */
 export interface FormerTerm {
   /** 0 if there was no leader before. */
   readonly term: number
   /** Undefined if there was no leader or its record is unreadable. */
   readonly leader?: string | undefined
-  /** The names of the leaders before that one that may still act; undefined if they are not known. */
-  readonly earlierLeaders?: readonly string[] | undefined
+  /** The leaders before that one that may still act; undefined if they are not known. */
+  readonly earlierLeaders?: readonly EarlierLeader[] | undefined
 }
 
 export interface LeaderRecord {
@@ -68,8 +84,8 @@
 export interface TermRecord {
   /** The term of the leader that wrote the record. */
   readonly term: number
-  /** The names of the leaders of earlier terms that may still act; undefined if they are not known. */
-  readonly earlierLeaders?: readonly string[] | undefined
+  /** The leaders of earlier terms that may still act; undefined if they are not known. */
+  readonly earlierLeaders?: readonly EarlierLeader[] | undefined
   /** The names of the instances that count as followers of this leader. */
   readonly followers: readonly string[]
 }
@@ -87,6 +103,13 @@
   return typeof value === "object" && value !== null && fields.every(field => field in value)
 }
 
+/** Earlier versions recorded only the names of earlier leaders. */
+function readEarlierLeaders<T extends Pick<FormerTerm, "earlierLeaders">>(record: T): T {
+  const leaders: readonly (EarlierLeader | string)[] | undefined = record.earlierLeaders
+  const earlierLeaders = leaders?.map(leader => (typeof leader === "string" ? {name: leader} : leader))
+  return {...record, earlierLeaders}
+}
+
 export function formatJob(job: PipelineJob): string {
   return JSON.stringify(job)
 }
@@ -111,9 +134,9 @@
 
 export function parseLeader(text: string): LeaderRecord | undefined {
   const value = parseJson(text)
-  return hasFields(value, "name", "address", "processors", "claimedAt", "life")
-    ? (value as LeaderRecord)
-    : undefined
+  if (!hasFields(value, "name", "address", "processors", "claimedAt", "life")) return undefined
+  const record = value as LeaderRecord
+  return {...record, former: record.former && readEarlierLeaders(record.former)}
 }
 
 export function formatRoster(roster: readonly WorkerListing[]): string {
@@ -131,5 +154,5 @@
 
 export function parseTerm(text: string): TermRecord | undefined {
   const value = parseJson(text)
-  return hasFields(value, "term", "followers") ? (value as TermRecord) : undefined
+  return hasFields(value, "term", "followers") ? readEarlierLeaders(value as TermRecord) : undefined
 }
--- /dev/null
+++ b/test/fleet/barrier.test.ts
@@ -0,0 +1,73 @@
+/** When a new leader may start inherited tasks although workers are out of its reach. */
+import test from "ava"
+import {SILENT_LOGGER} from "../../src/core/logger.js"
+import {virtualClock} from "../../src/core/virtualclock.js"
+import {createBarrier} from "../../src/planner/barrier.js"
+import type {EarlierLeader} from "../../src/planner/records.js"
+import {createWorker} from "../../src/planner/state.js"
+import {listingOf} from "../support/fleet.js"
+
+const LEASE_MS = 3000
+
+/** How long the barrier of a term stays closed, in steps of 100 ms; Infinity if it is for more than 30 s. */
+async function closedFor(options: {
+  readonly leaders: readonly EarlierLeader[] | undefined
+  /** When each instance joins, after the beginning of the term. */
+  readonly joins?: Readonly<Record<string, number>>
+  readonly knewLaterTermFor?: (term: number) => number
+}): Promise<number> {
+  const clock = virtualClock(100_000)
+  const startedAt = clock.now()
+  const barrier = createBarrier({
+    clock,
+    log: SILENT_LOGGER,
+    leaseDuration: LEASE_MS,
+    hasJoined: name => clock.now() - startedAt >= (options.joins?.[name] ?? Infinity),
+    knewLaterTermAt: term => startedAt - (options.knewLaterTermFor?.(term) ?? 0),
+    onChange: () => undefined,
+  })
+  barrier.add(createWorker(listingOf("worker-1"), true, 0))
+  barrier.setEarlierLeaders(options.leaders)
+  for (let time = 0; time <= 30_000; time += 100) {
+    barrier.check()
+    if (!barrier.blocks("crease")) return time
+    await clock.advance(100)
+  }
+  return Infinity
+}
+
+const FOLLOWERS = ["entry-3", "entry-4", "entry-5", "entry-6", "entry-7", "entry-8"]
+const following = (names: readonly string[], missable: number) => ({names, missable})
+
+// Accepted jobs stood still for 18 s after two changes of the leader, since the followers of the leader before the last
+// were not known any more.
+test("a leader before the last one has stopped when its followers follow this leader or have led since", async t => {
+  const joins = Object.fromEntries(FOLLOWERS.slice(0, 5).map(name => [name, 500]))
+  const leaders = [
+    {name: "entry-1", term: 10, following: following(["entry-2", ...FOLLOWERS.slice(0, 5)], 1)},
+    {name: "entry-2", term: 20, following: following(FOLLOWERS, 1)},
+  ]
+  const closed = await closedFor({leaders, joins})
+  t.true(closed > 500 + 1500 + LEASE_MS, "the time without followers and one lease pass")
+  t.true(closed < 500 + 1500 + LEASE_MS * 1.1 + 500)
+})
+
+test("each leader counts by its own followers", async t => {
+  const joins = Object.fromEntries(FOLLOWERS.map(name => [name, 500]))
+  const others = following(["entry-9", "entry-10", "entry-11"], 0)
+  const leaders = [
+    {name: "entry-1", term: 10, following: others},
+    {name: "entry-2", term: 20, following: following(FOLLOWERS, 1)},
+  ]
+  t.true((await closedFor({leaders, joins})) > 15_000 + LEASE_MS)
+})
+
+test("the limit of a leader counts from when it was replaced, as far as this instance knows", async t => {
+  const leaders = [{name: "entry-1", term: 10, following: following(FOLLOWERS, 1)}]
+  t.true((await closedFor({leaders})) > 15_000 + LEASE_MS)
+  const known = await closedFor({leaders, knewLaterTermFor: term => (term === 10 ? 12_000 : 0)})
+  t.true(known > 3000 + LEASE_MS && known < 4000 + LEASE_MS * 1.1)
+  const ofEarlierVersion = [{name: "entry-1"}]
+  t.true((await closedFor({leaders: ofEarlierVersion, knewLaterTermFor: () => 12_000})) > 15_000 + LEASE_MS)
+  t.true((await closedFor({leaders: undefined, knewLaterTermFor: () => 12_000})) > 15_000 + LEASE_MS)
+})
--- a/test/fleet/earlierleaders.test.ts
+++ b/test/fleet/earlierleaders.test.ts
@@ -23,8 +23,9 @@
 })
 
 test("leaders that have stopped, by the record of the last term, are left out", t => {
-  const last = claimOf("entry-2", 20, {term: 10, leader: "entry-1", earlierLeaders: ["entry-0"]})
-  const record = recordOf({term: 20, earlierLeaders: ["entry-0"], followers: ["entry-1", "entry-3"]})
+  const earlier = [{name: "entry-0", term: 5, following: {names: ["entry-4"], missable: 0}}]
+  const last = claimOf("entry-2", 20, {term: 10, leader: "entry-1", earlierLeaders: earlier})
+  const record = recordOf({term: 20, earlierLeaders: earlier, followers: ["entry-1", "entry-3"]})
   const claim = claimOf("entry-3", 30, describeFormerTerm(last, record))
   const recordOfEarlierTerm = recordOf({term: 10, earlierLeaders: [], followers: ["entry-4"]})
   t.snapshot({
@@ -34,6 +35,45 @@
   })
 })
 
+test("who may follow a leader is told by its own record, also when its successor has written none", t => {
+  const first = claimOf("entry-1", 10, NO_FORMER_TERM)
+  const second = claimOf("entry-2", 20, describeFormerTerm(first, undefined))
+  const followers = ["entry-2", "entry-3", "entry-4", "entry-5"]
+  // The first leader wrote it while the second one claimed.
+  const record = recordOf({term: 10, earlierLeaders: [], followers})
+  const third = claimOf("entry-3", 30, describeFormerTerm(second, record))
+  t.snapshot(findEarlierLeaders(readStoredWork([third, record])))
+})
+
+test("of an instance that has led twice only the later term counts", t => {
+  const first = claimOf("entry-1", 10, NO_FORMER_TERM)
+  const second = claimOf("entry-2", 20, describeFormerTerm(first, undefined))
+  const third = claimOf("entry-1", 30, describeFormerTerm(second, undefined))
+  const fourth = claimOf("entry-3", 40, describeFormerTerm(third, undefined))
+  const found = findEarlierLeaders(readStoredWork([fourth]))
+  t.deepEqual(
+    found?.map(({name, term}) => [name, term]),
+    [
+      ["entry-2", 20],
+      ["entry-1", 30],
+    ],
+  )
+})
+
+test("earlier leaders in records of earlier versions are known by their names only", t => {
+  const former = {term: 20, leader: "entry-2", earlierLeaders: ["entry-0"]}
+  const claim = {key: LEADER_KEY, revision: 30, value: JSON.stringify({...LEADER, name: "entry-3", former})}
+  const record = {
+    key: TERM_KEY,
+    revision: 1,
+    value: JSON.stringify({term: 20, earlierLeaders: ["entry-0"], followers: ["entry-3"]}),
+  }
+  t.snapshot([
+    findEarlierLeaders(readStoredWork([claim])),
+    findEarlierLeaders(readStoredWork([claim, record])),
+  ])
+})
+
 test("the leaders before one whose claim names none, or whose key was lost, are not known", t => {
   const earlierVersion = claimOf("entry-1", 10, undefined)
   const second = claimOf("entry-2", 20, describeFormerTerm(earlierVersion, undefined))
--- a/test/fleet/failures.test.ts
+++ b/test/fleet/failures.test.ts
@@ -381,6 +381,20 @@
   t.deepEqual(fleet.workers.violations(), [])
 })
 
+test("inherited tasks wait no longer because the leader before the last one has gone for good as well", async t => {
+  const fleet = testFleet({instances: 8, workers: 3})
+  await fleet.clock.advance(2000)
+  const job = jobOf(736, [{count: 3}, {count: 3, after: [0]}])
+  await fleet.submit(fleet.leader() ?? "", job)
+  fleet.workers.disconnect("worker-1")
+  fleet.kill(fleet.leader() ?? "")
+  await fleet.clock.advance(1300)
+  fleet.kill(fleet.leader() ?? "")
+  await fleet.clock.advance(8000)
+  t.is(await fleet.stateAt(fleet.leader() ?? "", job), "completed")
+  t.deepEqual(fleet.workers.violations(), [])
+})
+
 test("requests that workers carry out late run no task twice", async t => {
   const fleet = testFleet({seed: 7})
   const random = seededRandom(7)
