A leader accepts only jobs that it can hold, and opens occurrences when they are due

Cause: the leader created the runs of the steps of every occurrence at once, and nothing bounded the sum of what accepted jobs take. Ruled out as the cause here: the stored progress, since no task had ended; it would have followed and is mended as well.

Change: occurrences are opened when they are due, a bounded number of them at once, and closed when they are done. Progress counts completed occurrences in place of listing them. The memory of a job is estimated: one that no leader could hold is malformed, and a leader refuses (503, Retry-After) what it could not hold beside its jobs, whichever instance stores it.

--- a/src/peer/fleet.ts
+++ b/src/peer/fleet.ts
@@ -72,7 +72,8 @@
   readonly clockMs: Milliseconds
 }
 
-export type StoreAnswer = "stored" | "not-stored" | "unknown" | "not-leader"
+/** `over-capacity`: not stored, since the leader could not hold the job beside those that it has accepted. */
+export type StoreAnswer = "stored" | "not-stored" | "unknown" | "not-leader" | "over-capacity"
 export type CancelAnswer = "cancelled" | "ended" | "unknown-job" | "not-stored"
 
 /** A permit of the advice service: the ticket with which a task of the step may start on the worker. */
@@ -148,6 +149,7 @@
   [StoreOutcome.NOT_STORED]: "not-stored",
   [StoreOutcome.UNKNOWN]: "unknown",
   [StoreOutcome.NOT_LEADER]: "not-leader",
+  [StoreOutcome.OVER_CAPACITY]: "over-capacity",
 }
 
 const STORE_OUTCOMES: Readonly<Record<StoreAnswer, StoreOutcome>> = {
@@ -155,6 +157,7 @@
   "not-stored": StoreOutcome.NOT_STORED,
   unknown: StoreOutcome.UNKNOWN,
   "not-leader": StoreOutcome.NOT_LEADER,
+  "over-capacity": StoreOutcome.OVER_CAPACITY,
 }
 
 const CANCEL_ANSWERS: ReadonlySet<string> = new Set(["cancelled", "ended", "unknown-job"])
--- a/src/pipelines/progress.ts
+++ b/src/pipelines/progress.ts
@@ -8,6 +8,11 @@
 
 export interface Progress {
   readonly outcome: Outcome | undefined
+  /**
+   * Every occurrence of a job with several before this one is done, and `done` and `failures` do not list it. Absent while
+   * the first occurrence is not done.
+   */
+  readonly completedOccurrences?: number
   /**
    * By `occurrence.step`: a string with one character for each task, `1` for done and `0` for not done. Absent while no
    * task of the step is done.
@@ -45,11 +50,18 @@
   return step
 }
 
+/** True if all occurrences up to this one are done. */
+function isCompleted(progress: Progress, occurrence: number): boolean {
+  return occurrence < (progress.completedOccurrences ?? 0)
+}
+
 export function isDone(progress: Progress, task: TaskName): boolean {
+  if (isCompleted(progress, task.occurrence)) return true
   return progress.done[stepKey(task.occurrence, task.step)]?.[task.index] === "1"
 }
 
 export function isStepDone(job: PipelineJob, progress: Progress, occurrence: number, step: number): boolean {
+  if (isCompleted(progress, occurrence)) return true
   const doneFlags = progress.done[stepKey(occurrence, step)]
   return doneFlags?.length === stepAt(job, step).count && !doneFlags.includes("0")
 }
@@ -59,13 +71,25 @@
   return stepAt(job, step).after.every(earlier => isStepDone(job, progress, occurrence, earlier))
 }
 
-function isEveryStepDone(job: PipelineJob, progress: Progress): boolean {
-  for (let occurrence = 0; occurrence < job.occurrences; occurrence += 1) {
-    for (let step = 0; step < job.steps.length; step += 1) {
-      if (!isStepDone(job, progress, occurrence, step)) return false
-    }
+export function isOccurrenceDone(job: PipelineJob, progress: Progress, occurrence: number): boolean {
+  return job.steps.every((_, step) => isStepDone(job, progress, occurrence, step))
+}
+
+/** Counts the occurrences that are done, in place of listing their tasks, and completes the job after the last one. */
+function completeOccurrences(job: PipelineJob, progress: Progress): Progress {
+  const before = progress.completedOccurrences ?? 0
+  let completed = before
+  while (completed < job.occurrences && isOccurrenceDone(job, progress, completed)) completed += 1
+  if (completed === job.occurrences) return {...progress, outcome: "completed"}
+  if (completed === before) return progress
+  const withoutCompleted = <T>(record: Readonly<Record<string, T>>): Readonly<Record<string, T>> =>
+    Object.fromEntries(Object.entries(record).filter(([key]) => Number.parseInt(key, 10) >= completed))
+  return {
+    ...progress,
+    completedOccurrences: completed,
+    done: withoutCompleted(progress.done),
+    failures: withoutCompleted(progress.failures),
   }
-  return true
 }
 
 function markDone(job: PipelineJob, progress: Progress, task: TaskName): Progress {
@@ -76,7 +100,7 @@
     ? "1".repeat(step.count)
     : `${previousFlags.slice(0, task.index)}1${previousFlags.slice(task.index + 1)}`
   const next = {...progress, done: {...progress.done, [key]: doneFlags}}
-  return isEveryStepDone(job, next) ? {...next, outcome: "completed"} : next
+  return completeOccurrences(job, next)
 }
 
 /** The highest attempt number among the recorded failures of a task; 0 for none. */
--- a/src/planner/intake.ts
+++ b/src/planner/intake.ts
@@ -7,6 +7,7 @@
 import {sleep, withTimeout} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
 import type {CancelAnswer, FleetClients, QueueLoad, StoreAnswer} from "../peer/fleet.js"
+import {estimateMemory} from "../pipelines/footprint.js"
 import type {PipelineJob} from "../pipelines/model.js"
 import type {KeyValueStore} from "../pipelines/ports.js"
 import type {ShownState} from "./jobtable.js"
@@ -63,6 +64,13 @@
 const MIN_LEADER_TIMEOUT_MS: Milliseconds = 200
 /** When a caller should retry after a refusal because of the store, whose outages last a few seconds. */
 const RETRY_AFTER_MS: Milliseconds = 2000
+/** The same where accepted jobs have to end first. */
+const OVER_CAPACITY_RETRY_MS: Milliseconds = 10_000
+/**
+ * Limit on the memory that jobs stored by this instance without the leader take there, until the leader has stored one,
+ * since only the leader knows how much it can still hold.
+ */
+const MAX_DIRECT_BYTES = 2 ** 20
 /** How long a stored cancellation may take to reach the leader until it is answered as not acknowledged. */
 const CANCEL_APPLY_LIMIT_MS: Milliseconds = 1500
 const CANCEL_APPLY_RETRY_MS: Milliseconds = 100
@@ -71,6 +79,8 @@
 
 export function createIntake(ports: IntakePorts): Intake {
   const {clock, log, store, clients, leadership, planner, loads} = ports
+  /** Memory of the jobs that were stored without the leader since it last stored one. */
+  let directBytes = 0
 
   function leaderAddress(): string | undefined {
     const leader = leadership.leader()
@@ -115,7 +125,10 @@
 
   /** Writes the job to the store without the leader. */
   async function storeDirectly(job: PipelineJob): Promise<StoreAnswer> {
+    const memory = estimateMemory(job)
+    if (directBytes + memory > MAX_DIRECT_BYTES) return "not-stored"
     if (!(await doesStoreAnswer())) return "not-stored"
+    directBytes += memory
     const record = formatJob(job)
     const result = await store.commit({
       conditions: [
@@ -135,11 +148,13 @@
   async function storeWithFallback(job: PipelineJob, clientTimeout: Milliseconds): Promise<StoreAnswer> {
     const atLeader = storeAtLeader(job, clientTimeout)
     const first = await withTimeout(clock, atLeader, DIRECT_WRITE_DELAY_MS, undefined)
-    if (first === "stored") return first
+    if (first === "stored") directBytes = 0
+    if (first === "stored" || first === "over-capacity") return first
     const direct = await storeDirectly(job)
     if (direct === "stored") return direct
     const last = first ?? (await atLeader)
-    if (last === "stored") return last
+    if (last === "stored") directBytes = 0
+    if (last === "stored" || (last === "over-capacity" && direct !== "unknown")) return last
     return last === "unknown" || direct === "unknown" ? "unknown" : "not-stored"
   }
 
@@ -147,7 +162,10 @@
     const outcome = await storeWithFallback(job, clientTimeout)
     if (outcome === "stored") return {type: "stored"}
     if (outcome === "unknown") return {type: "unknown"}
-    return {type: "refused", retryAfter: RETRY_AFTER_MS}
+    return {
+      type: "refused",
+      retryAfter: outcome === "over-capacity" ? OVER_CAPACITY_RETRY_MS : RETRY_AFTER_MS,
+    }
   }
 
   async function readStateFromStore(job: string): Promise<StateAnswer> {
--- a/src/planner/jobtable.ts
+++ b/src/planner/jobtable.ts
@@ -23,6 +23,8 @@
 
 export interface JobTable {
   readonly active: ReadonlyMap<string, ActiveJob>
+  /** Bytes that the active jobs are estimated to take. */
+  readonly memory: () => number
   readonly add: (job: PipelineJob, progress: Progress, inherited: boolean) => ActiveJob | undefined
   /** Adds a job that ended under an earlier leader. `writtenAt` is wall-clock time. */
   readonly addEnded: (job: string, outcome: Outcome, writtenAt: number) => void
@@ -48,6 +50,7 @@
 ): JobTable {
   const active = new Map<string, ActiveJob>()
   const ended = new Map<string, EndedJob>()
+  let memory = 0
 
   function recordEnd(job: string, outcome: Outcome): void {
     ended.set(job, {outcome, expiresAt: clock.now() + ENDED_JOB_RETENTION_MS})
@@ -55,17 +58,20 @@
 
   function dropIfFinished(candidate: ActiveJob): void {
     if (candidate.progress.outcome === undefined || !ended.has(candidate.job.id)) return
-    if (candidate.stepRuns.every(run => run.assignments.size === 0)) active.delete(candidate.job.id)
+    if (candidate.stepRuns.some(run => run.assignments.size > 0)) return
+    if (active.delete(candidate.job.id)) memory -= candidate.memory
   }
 
   return {
     active,
+    memory: () => memory,
     add(job, progress, inherited) {
       if (active.has(job.id) || ended.has(job.id)) return undefined
       // The wall clocks of instances differ, so the age is limited to the possible range.
       const age = Math.min(ENDED_JOB_RETENTION_MS, Math.max(0, clock.wallClock() - job.acceptedAt))
       const added = createActiveJob(job, progress, clock.now() - (inherited ? age : 0), inherited)
       active.set(job.id, added)
+      memory += added.memory
       return added
     },
     addEnded(job, outcome, writtenAt) {
--- a/src/planner/opensteps.ts
+++ b/src/planner/opensteps.ts
@@ -8,7 +8,7 @@
 import type {WaitingStep} from "../pipelines/order.js"
 import {mayBegin} from "../pipelines/progress.js"
 import type {ActiveJob, StepRun, WorkerState} from "./state.js"
-import {findStepRun} from "./state.js"
+import {dueAt, findStepRun} from "./state.js"
 
 /** The leader's state as one scheduling pass sees it. */
 export interface PassView {
@@ -36,23 +36,20 @@
   readonly rank: WaitingStep
 }
 
-/** The wall-clock time at which the occurrence is due; 0 for a job without a schedule. */
-function dueAt(run: StepRun): number {
-  const {job} = run.owner
-  return job.firstDue === 0 ? 0 : job.firstDue + run.occurrence * job.interval
-}
-
 function isOpen(run: StepRun, view: PassView): boolean {
   const {owner, step} = run
   if (run.waiting.size === 0 || owner.progress.outcome !== undefined || run.retryAt > view.now) return false
   if (step.gang && (run.assignments.size > 0 || run.waiting.size < step.count)) return false
-  return dueAt(run) <= view.wallClock && mayBegin(owner.job, owner.progress, run.occurrence, run.stepIndex)
+  return (
+    dueAt(owner.job, run.occurrence) <= view.wallClock &&
+    mayBegin(owner.job, owner.progress, run.occurrence, run.stepIndex)
+  )
 }
 
 /** The step's position in the scheduling order, by its queue, its latency objective and the work left. */
 export function rankStep(run: StepRun, queue: Queue, view: PassView): WaitingStep {
   const {job} = run.owner
-  const begin = dueAt(run)
+  const begin = dueAt(job, run.occurrence)
   const arrived = begin === 0 ? run.owner.arrivedAt : view.now - (view.wallClock - begin)
   const due = arrived + latencyObjective(job, queue)
   const work = run.waiting.size * run.step.demand.processors * run.step.estimate
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -16,6 +16,7 @@
 import {watchPrefix} from "./prefixwatch.js"
 import {createJobTable, INITIAL_PROGRESS} from "./jobtable.js"
 import type {ShownState} from "./jobtable.js"
+import {estimateMemory, MAX_ACCEPTED_BYTES} from "../pipelines/footprint.js"
 import {findEarlierLeaders} from "./earlierleaders.js"
 import {createLeaderLoad} from "./leaderload.js"
 import type {LeaderBacklog} from "./leaderload.js"
@@ -32,7 +33,7 @@
 import {createReportReader} from "./reports.js"
 import type {WorkRead} from "./reports.js"
 import type {ActiveJob, Assignment} from "./state.js"
-import {release} from "./state.js"
+import {openDueOccurrences, release} from "./state.js"
 import {openWorkerLink} from "./workerlink.js"
 import type {WorkerLinkEvents} from "./workerlink.js"
 import {createWorkerPool} from "./workerpool.js"
@@ -110,6 +111,8 @@
   let {confirmedAt} = ports
   let isConfirming = false
   let workRead: WorkRead = {sentAt: startedAt, answeredAt: startedAt}
+  /** Bytes that the jobs whose records are being written are estimated to take. */
+  let memoryBeingStored = 0
   /** Jobs with a stored cancellation that are not known yet. */
   const earlyCancellations = new Set<string>()
 
@@ -274,6 +277,7 @@
     isPassScheduled = false
     if (isClosed || !isLoaded) return
     passes += 1
+    for (const active of jobs.active.values()) openDueOccurrences(active, clock.wallClock())
     const passStartedAt = clock.now()
     const result = planningPass.run(
       {
@@ -496,7 +500,16 @@
         return "stored"
       }
       if (jobs.stateOf(job.id) !== undefined) return "stored"
-      const outcome = await ledger.storeJob(job)
+      const memory = estimateMemory(job)
+      if (jobs.memory() + memoryBeingStored + memory > MAX_ACCEPTED_BYTES) {
+        log.warn(
+          {event: "job-over-capacity", job: job.id, memory, accepted: jobs.memory() + memoryBeingStored},
+          "job refused, since the leader could not hold it beside those accepted",
+        )
+        return "over-capacity"
+      }
+      memoryBeingStored += memory
+      const outcome = await ledger.storeJob(job).finally(() => (memoryBeingStored -= memory))
       if (outcome === "stored" && !isClosed) addJob(job)
       // An existing job is already in the job table, or the next poll of the store finds it.
       return outcome === "exists" ? "stored" : outcome
@@ -508,6 +521,7 @@
     schedulePass,
     counts: () => ({
       active: jobs.active.size,
+      job_bytes: jobs.memory(),
       workers: pool.workers.size,
       usable: [...pool.workers.values()].filter(worker => isUsable(worker, clock.now())).length,
       starts: starter.countStarts(),
--- a/src/planner/state.ts
+++ b/src/planner/state.ts
@@ -5,10 +5,11 @@
 import type {Milliseconds} from "../core/clock.js"
 import type {Resources} from "../core/resources.js"
 import {add, NO_RESOURCES, subtract} from "../core/resources.js"
+import {estimateMemory, maxOpenOccurrences} from "../pipelines/footprint.js"
 import type {PipelineJob, Step, TaskName, WorkerListing} from "../pipelines/model.js"
 import {formatTask} from "../pipelines/model.js"
 import type {Progress} from "../pipelines/progress.js"
-import {highestFailedAttempt, isDone} from "../pipelines/progress.js"
+import {highestFailedAttempt, isDone, isOccurrenceDone} from "../pipelines/progress.js"
 
 /** Permission of the advice service to run a step on one worker, presented to the worker with each start. */
 export interface AdviceTicket {
@@ -54,8 +55,17 @@
   readonly isInherited: boolean
   /** At least one task of the job has started. */
   hasStarted: boolean
-  /** All steps of the first occurrence, then those of the next one, and so on. */
-  readonly stepRuns: readonly StepRun[]
+  /** Bytes that the job is estimated to take. */
+  readonly memory: number
+  /**
+   * The runs of the steps of those occurrences that have been opened and are not done. A job without a schedule has one
+   * occurrence, which is always open.
+   */
+  readonly openOccurrences: Map<number, readonly StepRun[]>
+  /** The first occurrence that has not been opened in its turn. */
+  nextOccurrence: number
+  /** The runs of all open occurrences. */
+  stepRuns: readonly StepRun[]
 }
 
 /** "stopping" from the request to stop until the worker no longer has the run; "gone" once the assignment is released. */
@@ -195,20 +205,69 @@
   arrivedAt: Milliseconds,
   isInherited: boolean,
 ): ActiveJob {
-  const stepRuns: StepRun[] = []
-  const hasStarted = Object.keys(progress.done).length > 0
-  const active: ActiveJob = {job, progress, arrivedAt, isInherited, hasStarted, stepRuns}
-  for (let occurrence = 0; occurrence < job.occurrences; occurrence += 1) {
-    job.steps.forEach((step, index) => stepRuns.push(createStepRun(active, occurrence, index, step)))
+  const completed = progress.completedOccurrences ?? 0
+  const active: ActiveJob = {
+    job,
+    progress,
+    arrivedAt,
+    isInherited,
+    hasStarted: completed > 0 || Object.keys(progress.done).length > 0,
+    memory: estimateMemory(job),
+    openOccurrences: new Map(),
+    nextOccurrence: completed,
+    stepRuns: [],
   }
+  openDueOccurrences(active, -Infinity)
   return active
 }
 
-/** Undefined when the job has no such step or occurrence. */
+/** The wall-clock time at which the occurrence is due; 0 for a job without a schedule. */
+export function dueAt({firstDue, interval}: PipelineJob, occurrence: number): number {
+  return firstDue === 0 ? 0 : firstDue + occurrence * interval
+}
+
+function openOccurrence(active: ActiveJob, occurrence: number): readonly StepRun[] {
+  const runs = active.job.steps.map((step, index) => createStepRun(active, occurrence, index, step))
+  active.openOccurrences.set(occurrence, runs)
+  active.stepRuns = [...active.stepRuns, ...runs]
+  return runs
+}
+
+/** Closes occurrences that are done and of which no run is left on a worker. */
+function closeDoneOccurrences(active: ActiveJob): void {
+  const {job, progress, openOccurrences} = active
+  const before = openOccurrences.size
+  for (const [occurrence, runs] of openOccurrences) {
+    if (runs.some(run => run.waiting.size > 0 || run.assignments.size > 0)) continue
+    if (isOccurrenceDone(job, progress, occurrence)) openOccurrences.delete(occurrence)
+  }
+  if (openOccurrences.size < before) active.stepRuns = [...openOccurrences.values()].flat()
+}
+
+/** Opens the occurrences that are due, the earliest first, as far as they may be open at once. */
+export function openDueOccurrences(active: ActiveJob, wallClock: number): void {
+  const {job, openOccurrences} = active
+  if (job.occurrences > 1 && openOccurrences.size > 0) closeDoneOccurrences(active)
+  const limit = maxOpenOccurrences(job)
+  while (active.nextOccurrence < job.occurrences && openOccurrences.size < limit) {
+    const {nextOccurrence} = active
+    const due = dueAt(job, nextOccurrence)
+    if (due !== 0 && due > wallClock) return
+    active.nextOccurrence += 1
+    if (openOccurrences.has(nextOccurrence) || isOccurrenceDone(job, active.progress, nextOccurrence))
+      continue
+    openOccurrence(active, nextOccurrence)
+  }
+}
+
+/**
+ * Undefined when the job has no such step or occurrence. An occurrence that is not open is opened, since a worker may
+ * still have runs of it or their ends.
+ */
 export function findStepRun(active: ActiveJob, occurrence: number, step: number): StepRun | undefined {
-  return step < active.job.steps.length
-    ? active.stepRuns[occurrence * active.job.steps.length + step]
-    : undefined
+  const {job, openOccurrences} = active
+  if (step >= job.steps.length || occurrence >= job.occurrences) return undefined
+  return (openOccurrences.get(occurrence) ?? openOccurrence(active, occurrence))[step]
 }
 
 /** Assigns a task to a worker, in memory only. The task occupies its capacity from now on. */
--- a/src/platform/jobrequest.ts
+++ b/src/platform/jobrequest.ts
@@ -1,6 +1,7 @@
 /** Decodes and validates a submitted job. All problems are collected, each with the field that it concerns. */
 import {err, ok} from "neverthrow"
 import type {Result} from "neverthrow"
+import {estimateMemory, MAX_JOB_BYTES} from "../pipelines/footprint.js"
 import type {PipelineJob, Queue, Step} from "../pipelines/model.js"
 import type {JsonObject} from "./wire.js"
 import {asBoolean, asArray, asNumber, asObject, asString, parseJson, readResources} from "./wire.js"
@@ -71,12 +72,14 @@
   const repeats = asNumber(fields.RepeatCount)
   if (repeats !== 0 && !isWholeNumber(repeats, 0)) problems.push("RepeatCount is not a whole number.")
   if (problems.length > 0) return err(problems)
-  return ok({
+  const job = {
     ...identity,
     payload,
     steps: steps.map(step => readStep(asObject(step))),
     occurrences: Math.max(1, repeats),
     firstDue: repeats > 0 ? asNumber(fields.StartAtMs) : 0,
     interval: asNumber(fields.IntervalMs),
-  })
+  }
+  if (estimateMemory(job) > MAX_JOB_BYTES) return err(["Pipeline has too many steps or tasks for one job."])
+  return ok(job)
 }
--- /dev/null
+++ b/test/fleet/schedules.test.ts
@@ -0,0 +1,120 @@
+/** Jobs with many occurrences: what the leader holds of them, what it stores, and when it refuses more. */
+import test from "ava"
+import {estimateMemory, MAX_ACCEPTED_BYTES} from "../../src/pipelines/footprint.js"
+import type {PipelineJob} from "../../src/pipelines/model.js"
+import type {Progress} from "../../src/pipelines/progress.js"
+import {applyProgress, isDone, NO_PROGRESS} from "../../src/pipelines/progress.js"
+import {parseProgress, progressKey} from "../../src/planner/records.js"
+import {createActiveJob, findStepRun, openDueOccurrences} from "../../src/planner/state.js"
+import {jobOf, testFleet} from "../support/fleet.js"
+
+const WEEK = 10_080
+const MINUTE_MS = 60_000
+
+function scheduleOf(number: number, firstDue: number, rest: Partial<PipelineJob> = {}): PipelineJob {
+  return jobOf(number, [{count: 5}], {occurrences: WEEK, firstDue, interval: MINUTE_MS, ...rest})
+}
+
+function finish(job: PipelineJob, progress: Progress, occurrence: number): Progress {
+  return Array.from({length: 5}).reduce<Progress>((before, _, index) => {
+    const task = {job: job.id, occurrence, step: 0, index}
+    return applyProgress(job, before, {type: "task-done", task})
+  }, progress)
+}
+
+// Twenty accepted schedules of a week ended one leader after another for want of memory, since each held every occurrence.
+test("a leader holds only those occurrences of a schedule that are due and not done", t => {
+  const job = scheduleOf(1, 1000)
+  const active = createActiveJob(job, NO_PROGRESS, 0, false)
+  t.is(active.stepRuns.length, 0, "nothing is due")
+  openDueOccurrences(active, 1000 + MINUTE_MS)
+  t.deepEqual([...active.openOccurrences.keys()], [0, 1])
+  active.progress = finish(job, active.progress, 0)
+  for (const run of active.openOccurrences.get(0) ?? []) run.waiting.clear()
+  openDueOccurrences(active, 1000 + 2 * MINUTE_MS)
+  t.deepEqual([...active.openOccurrences.keys()], [1, 2])
+  openDueOccurrences(active, Infinity)
+  t.true(active.stepRuns.length <= 32, "nor are all of them open when all are due")
+})
+
+test("a run of an occurrence that is not due by the leader's clock is found", t => {
+  const active = createActiveJob(scheduleOf(2, 1000), NO_PROGRESS, 0, true)
+  t.is(findStepRun(active, 3, 0)?.waiting.size, 5)
+  openDueOccurrences(active, 1000 + 3 * MINUTE_MS)
+  t.deepEqual(
+    [...active.openOccurrences.keys()].sort((one, other) => one - other),
+    [0, 1, 2, 3],
+  )
+  t.is(findStepRun(active, WEEK, 0), undefined)
+  t.is(findStepRun(active, 0, 1), undefined)
+})
+
+test("progress lists no occurrence that is done, up to the first that is not", t => {
+  const job = scheduleOf(3, 1000, {occurrences: 4})
+  const states: Progress[] = []
+  let progress = NO_PROGRESS
+  for (const occurrence of [1, 0, 3, 2]) {
+    progress = finish(job, progress, occurrence)
+    states.push(progress)
+  }
+  t.snapshot(states)
+  t.true(isDone(states[1] ?? NO_PROGRESS, {job: job.id, occurrence: 1, step: 0, index: 4}))
+  t.is(createActiveJob(job, states[2] ?? NO_PROGRESS, 0, true).nextOccurrence, 2)
+})
+
+test("each occurrence runs once, also beyond those that may be open at once and across a change of the leader", async t => {
+  const fleet = testFleet({
+    planOf: () => ({demand: {processors: 0.1, memoryMebibytes: 1, accelerators: 0}, duration: 50}),
+  })
+  await fleet.clock.advance(1000)
+  const step = {demand: {processors: 0.1, memoryMebibytes: 1, accelerators: 0}, estimate: 50}
+  const job = jobOf(4, [step], {occurrences: 300, firstDue: fleet.clock.wallClock(), interval: 10})
+  await fleet.submit("entry-1", job)
+  await fleet.clock.advance(1500)
+  const former = fleet.leader() ?? ""
+  t.true((parseProgress(fleet.store.get(progressKey(job.id))?.value ?? "")?.completedOccurrences ?? 0) > 0)
+  fleet.kill(former)
+  await fleet.clock.advance(12_000)
+  t.is(await fleet.stateAt(fleet.leader() ?? "", job), "completed")
+  t.is(fleet.workers.startCounts().size, 300)
+  t.deepEqual(fleet.workers.violations(), [])
+})
+
+test("a leader refuses a job that it could not hold beside those accepted, and takes it once there is room", async t => {
+  const fleet = testFleet()
+  await fleet.clock.advance(1000)
+  const due = fleet.clock.wallClock() + 10_000_000
+  const large = (number: number): PipelineJob =>
+    jobOf(number, [{count: 100_000}], {occurrences: 2, firstDue: due, interval: 1000})
+  const fitting = Math.floor(MAX_ACCEPTED_BYTES / estimateMemory(large(0)))
+  const jobs = Array.from({length: fitting}, (_, index) => large(100 + index))
+  for (const job of jobs) t.is((await fleet.submit("entry-1", job)).type, "stored")
+  const further = large(200)
+  for (const name of fleet.names()) {
+    const answer = await fleet.submit(name, further)
+    t.deepEqual(answer, {type: "refused", retryAfter: 10_000}, name)
+  }
+  t.is(await fleet.stateAt("entry-1", further), "unknown-job")
+  const [first] = jobs
+  if (first) await fleet.runUntilSettled(fleet.instance("entry-1").intake.cancel(first.id))
+  await fleet.clock.advance(200)
+  t.is((await fleet.submit("entry-2", further)).type, "stored")
+})
+
+test("without a leader an instance stores no more than a leader can hold beside its own jobs", async t => {
+  const fleet = testFleet()
+  await fleet.clock.advance(1000)
+  const former = fleet.leader() ?? ""
+  const [name = ""] = fleet.names().filter(one => one !== former)
+  fleet.partition(former, name)
+  for (const other of fleet.names()) if (other !== name) fleet.partition(name, other)
+  const due = fleet.clock.wallClock() + 10_000_000
+  const answers: string[] = []
+  for (let number = 0; number < 4; number += 1) {
+    const job = jobOf(300 + number, [{count: 10_000}], {occurrences: 2, firstDue: due, interval: 1000})
+    answers.push((await fleet.submit(name, job)).type)
+  }
+  t.deepEqual(answers.slice(0, 2), ["stored", "stored"])
+  t.not(answers[2], "stored")
+  t.not(answers[3], "stored")
+})
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -60,6 +60,15 @@
   t.snapshot(readJobRequest(JSON.stringify(JOB), IDENTITY)._unsafeUnwrap())
 })
 
+test("a job that no leader could hold is refused with the reason", t => {
+  const steps = Array.from({length: 3}, () => ({Count: 100_000}))
+  t.deepEqual(readJobRequest(JSON.stringify({Spec: "", Pipeline: steps}), IDENTITY)._unsafeUnwrapErr(), [
+    "Pipeline has too many steps or tasks for one job.",
+  ])
+  t.true(readJobRequest(JSON.stringify({Spec: "", Pipeline: steps.slice(1)}), IDENTITY).isErr())
+  t.true(readJobRequest(JSON.stringify({Spec: "", Pipeline: steps.slice(2)}), IDENTITY).isOk())
+})
+
 test("a repeated job has its occurrences and due times", t => {
   const body = JSON.stringify({...JOB, RepeatCount: 3, StartAtMs: 5000, IntervalMs: 700})
   const {occurrences, firstDue, interval} = readJobRequest(body, IDENTITY)._unsafeUnwrap()
