A new leader looks for inherited tasks at every service that their queue has used

Cause: the barrier looked at the workers of the service that the present configuration names. Ruled out: a barrier lifted too early, and a worker that the new leader did not know of, since the same faults without the change of the configuration do no harm.

Change: the record of the term names the services that a queue's tasks may have been given to, besides the one for which a job was accepted. Tasks start at a further service only once the record names it, and the barrier of a job looks at all of them, so that changes in a row and back hold as well.

--- a/src/planner/opensteps.ts
+++ b/src/planner/opensteps.ts
@@ -17,8 +17,11 @@
   readonly activeJobs: readonly ActiveJob[]
   readonly workers: readonly WorkerState[]
   readonly queueOf: (active: ActiveJob) => Queue
-  /** False while an unreachable worker of the service may still run tasks that an earlier leader started. */
-  readonly mayStartInherited: (service: string) => boolean
+  /**
+   * False while an unreachable worker may still run tasks of the job that an earlier leader started, and until a later
+   * leader would look for tasks of the job at the service.
+   */
+  readonly mayStart: (active: ActiveJob, service: string) => boolean
   /** True while a worker has reported runs of the job that are not yet assigned in this leader's state. */
   readonly awaitsListing: (job: string) => boolean
   /** Priority of the most urgent queue, by service. */
@@ -61,8 +64,8 @@
   const steps: OpenStep[] = []
   for (const active of view.activeJobs) {
     const queue = view.queueOf(active)
-    if (active.isInherited && (!view.mayStartInherited(queue.service) || view.awaitsListing(active.job.id)))
-      continue
+    if (!view.mayStart(active, queue.service)) continue
+    if (active.isInherited && view.awaitsListing(active.job.id)) continue
     for (const run of active.stepRuns) {
       if (!isOpen(run, view)) continue
       steps.push({run, queue, rank: rankStep(run, queue, view)})
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -28,6 +28,7 @@
 import {pauseBeforePass} from "./passinterval.js"
 import {createPlanningPass} from "./planningpass.js"
 import {createStarter} from "./starting.js"
+import {createQueueServices} from "./queueservices.js"
 import {readStoredWork} from "./storedwork.js"
 import {formatTerm, LEADER_KEY, parseKey, parseJob, STORE_PREFIX} from "./records.js"
 import {createReportReader} from "./reports.js"
@@ -140,6 +141,7 @@
     knewLaterTermAt: ports.knewLaterTermAt,
     onChange: () => writeTerm(followers.current()),
   })
+  const queueServices = createQueueServices()
   const adviceDispatcher = createAdviceDispatcher(clock, log, adviceRequesters)
   const jobs = createJobTable(clock, log, ledger, findQueue, stopAllRuns)
 
@@ -213,11 +215,22 @@
     },
   })
 
+  /** Jobs of other queues cannot be accepted any more. */
+  function isQueueKept(name: string): boolean {
+    if (!configuration() || findQueue(name)) return true
+    return [...jobs.active.values()].some(({job}) => job.queue.name === name)
+  }
+
   /** Records the followers, and leaves out earlier leaders that have stopped. */
   function writeTerm(names: readonly string[]): void {
     followers.beginRecording(names)
-    const text = formatTerm({term, earlierLeaders: barrier.earlierLeaders(), followers: names})
-    ledger.writeTerm(text, followers.confirmRecording)
+    const usedServices = queueServices.beginRecording(isQueueKept)
+    const earlierLeaders = barrier.earlierLeaders()
+    ledger.writeTerm(formatTerm({term, earlierLeaders, followers: names, usedServices}), () => {
+      followers.confirmRecording()
+      queueServices.confirmRecording()
+      schedulePass()
+    })
   }
 
   function releaseAssignment(assignment: Assignment): void {
@@ -265,6 +278,12 @@
     else handleSuperseded()
   }
 
+  /** The service is the present one of the job's queue. */
+  function mayStart({job, isInherited}: ActiveJob, service: string): boolean {
+    if (!queueServices.mayUse(job, service)) return false
+    return !isInherited || ![service, ...queueServices.listUsed(job)].some(barrier.blocks)
+  }
+
   /** Priority of the most urgent queue, by service. */
   function listUrgentPriorities(): ReadonlyMap<string, number> {
     const urgent = new Map<string, number>()
@@ -286,7 +305,7 @@
         activeJobs: [...jobs.active.values()],
         workers: [...pool.workers.values()],
         queueOf: active => jobs.queueOf(active.job),
-        mayStartInherited: service => !barrier.blocks(service),
+        mayStart,
         awaitsListing: reports.isAwaitingReport,
         urgentPriorities: listUrgentPriorities(),
         idleRequesters: adviceDispatcher.countIdle(),
@@ -294,6 +313,7 @@
       },
       starter,
     )
+    if (queueServices.needsRecording()) writeTerm(followers.current())
     openSteps = result.openSteps
     lastPassDuration = clock.now() - passStartedAt
     const {preparation, work, workDuration} = result
@@ -393,6 +413,7 @@
     ledger.setTermRevision(work.termRevision)
     pool.addFromRoster(work.roster)
     barrier.setEarlierLeaders(findEarlierLeaders(work))
+    queueServices.addRecorded(work.term?.usedServices ?? {})
     writeTerm(followers.current())
     for (const job of work.cancelledJobs) void cancel(job, true)
   }
--- a/src/planner/records.ts
+++ b/src/planner/records.ts
@@ -2,6 +2,7 @@
 import type {PipelineJob} from "../pipelines/model.js"
 import type {Progress} from "../pipelines/progress.js"
 import type {WorkerListing} from "../pipelines/model.js"
+import type {UsedServices} from "./queueservices.js"
 
 export const STORE_PREFIX = "lacewing/"
 export const LEADER_KEY = `${STORE_PREFIX}leader`
@@ -88,6 +89,8 @@
   readonly earlierLeaders?: readonly EarlierLeader[] | undefined
   /** The names of the instances that count as followers of this leader. */
   readonly followers: readonly string[]
+  /** Undefined in the records of earlier versions. */
+  readonly usedServices?: UsedServices | undefined
 }
 
 function parseJson(text: string): unknown {
--- a/test/fleet/failures.test.ts
+++ b/test/fleet/failures.test.ts
@@ -381,6 +381,79 @@
   t.deepEqual(fleet.workers.violations(), [])
 })
 
+/** Sends the queue to further services, and then kills the leader and cuts off the worker that runs the task of a job. */
+async function moveQueue(servicesBefore: readonly string[], servicesAfter: readonly string[]) {
+  const services = ["crease", "glide", "fold"]
+  const fleet = testFleet({
+    workers: 0,
+    planOf: () => ({demand: STEP.demand, duration: 14_000}),
+  })
+  for (const service of services) {
+    for (const number of [1, 2]) {
+      const listing = listingOf(`${service}-${number}`, {service})
+      fleet.workers.addWorker(listing)
+      fleet.register(listing)
+    }
+  }
+  const move = async (service: string): Promise<void> => {
+    fleet.configure({queues: [{...QUEUE, service}]})
+    await fleet.clock.advance(3000)
+  }
+  await fleet.clock.advance(1000)
+  const job = jobOf(745, [{estimate: 14_000}])
+  // Another job occupies the workers of the first service, so that the task waits until the queue has been sent on.
+  const [first] = servicesBefore
+  if (first !== undefined) {
+    await fleet.submit("entry-1", jobOf(746, [{count: 2, demand: {...STEP.demand, processors: 8}}]))
+    await fleet.clock.advance(200)
+  }
+  await fleet.submit("entry-1", job)
+  for (const service of servicesBefore) await move(service)
+  await fleet.clock.advance(500)
+  const [holder = ""] = [...fleet.workers.runningByWorker()]
+    .filter(([, tasks]) => tasks.some(task => task.startsWith(job.id)))
+    .map(([id]) => id)
+  for (const service of servicesAfter) await move(service)
+  fleet.workers.disconnect(holder)
+  fleet.kill(fleet.leader() ?? "")
+  await fleet.clock.advance(5500)
+  fleet.workers.reconnect(holder)
+  await fleet.clock.advance(16_000)
+  return {fleet, job, holder}
+}
+
+// The barrier looked only at the service to which the queue belonged by then.
+test("a task that runs at a service to which its queue belonged before is not started at another one", async t => {
+  for (const [before, after] of [
+    [[], ["glide"]],
+    [["glide"], ["fold"]],
+    [["glide"], ["crease"]],
+  ] as const) {
+    const {fleet, job, holder} = await moveQueue(before, after)
+    const where = `${holder}, then ${after.join()}`
+    t.true(holder.startsWith(before[0] ?? "crease"), where)
+    t.deepEqual(fleet.workers.violations(), [], where)
+    t.is(await fleet.stateAt(fleet.leader() ?? "", job), "completed", where)
+  }
+})
+
+test("tasks start at a further service of their queue only once a later leader would look for them there", async t => {
+  const fleet = testFleet({workers: 0})
+  const listing = listingOf("glide-1", {service: "glide"})
+  fleet.workers.addWorker(listing)
+  fleet.register(listing)
+  await fleet.clock.advance(1000)
+  const job = jobOf(747, [{}])
+  await fleet.submit("entry-1", job)
+  fleet.configure({queues: [{...QUEUE, service: "glide"}]})
+  for (const name of fleet.names()) fleet.store.delayCommits(2500, name)
+  await fleet.clock.advance(2000)
+  t.is(fleet.workers.startCounts().size, 0)
+  for (const name of fleet.names()) fleet.store.delayCommits(0, name)
+  await fleet.clock.advance(4000)
+  t.is(await fleet.stateAt("entry-1", job), "completed")
+})
+
 test("inherited tasks wait no longer because the leader before the last one has gone for good as well", async t => {
   const fleet = testFleet({instances: 8, workers: 3})
   await fleet.clock.advance(2000)
--- a/test/unit/passes.test.ts
+++ b/test/unit/passes.test.ts
@@ -70,7 +70,7 @@
     workers,
     workLimit,
     queueOf: (active: ActiveJob) => active.job.queue,
-    mayStartInherited: () => true,
+    mayStart: () => true,
     awaitsListing: () => false,
     urgentPriorities: new Map([[QUEUE.service, QUEUE.priority]]),
     idleRequesters: 0,
