A leader counts leases as expired only up to when the store has confirmed it

Cause: a leader that is cut off goes on for up to 15 s while followers are left to it. It took the leases of workers beyond the cut as expired, since it had not extended them, and started their tasks again in its own zone; the leader that had replaced it reached those workers and did extend them. Ruled out: an early start by the successor (one instance started both runs), and restarted workers.

Change: tasks of an unreachable worker are released only when the store has confirmed the leader after the lease had run out, with a read of the leader key if there was none; the barrier and the wait for runs of unknown jobs keep to the same rule. In an outage of the store such tasks wait for its end.

--- a/src/planner/barrier.ts
+++ b/src/planner/barrier.ts
@@ -7,6 +7,7 @@
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
+import type {Confirmation} from "./confirmation.js"
 import type {EarlierLeader} from "./records.js"
 import type {WorkerState} from "./state.js"
 
@@ -44,6 +45,7 @@
   readonly clock: Clock
   readonly log: Logger
   readonly leaseDuration: Milliseconds
+  readonly confirmation: Confirmation
   /** True once the instance of this name follows this leader, so that it no longer leads itself. */
   readonly hasJoined: (name: string) => boolean
   /** When this instance first knew of a term later than the given one, as far as it remembers. */
@@ -54,7 +56,7 @@
 
 /** Creates the barrier of a leader whose term begins now. */
 export function createBarrier(context: BarrierContext): Barrier {
-  const {clock, log, hasJoined, knewLaterTermAt, onChange} = context
+  const {clock, log, confirmation, hasJoined, knewLaterTermAt, onChange} = context
   const lease = context.leaseDuration * CLOCK_MARGIN
   const startedAt = clock.now()
   const unfencedWorkers = new Set<WorkerState>()
@@ -124,8 +126,13 @@
     earlierLeaders: () => earlierLeaders,
     check() {
       updateEarlierLeaders()
-      const isOver = stoppedSince !== undefined && clock.now() - stoppedSince > lease
-      if (!isOver || unfencedWorkers.size === 0) return
+      const expiredAt = (stoppedSince ?? Infinity) + lease
+      if (unfencedWorkers.size === 0 || clock.now() <= expiredAt) return
+      // A later leader may have extended the leases since, unless there was none yet when they had expired.
+      if (confirmation.confirmedAt() <= expiredAt) {
+        confirmation.request()
+        return
+      }
       log.warn(
         {
           event: "barrier-passed",
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -13,6 +13,7 @@
 import type {AdviceRequester} from "./advicedispatcher.js"
 import {createAdviceDispatcher} from "./advicedispatcher.js"
 import {createBarrier, unconfirmedLimit} from "./barrier.js"
+import {createConfirmation} from "./confirmation.js"
 import {watchPrefix} from "./prefixwatch.js"
 import {createJobTable, INITIAL_PROGRESS} from "./jobtable.js"
 import type {ShownState} from "./jobtable.js"
@@ -108,9 +109,6 @@
   let lastPassDuration: Milliseconds = 0
   let workLimit = INITIAL_WORK_LIMIT
   let openSteps = 0
-  /** When the latest call was sent, other than a commit, whose answer proves that this leader still led. */
-  let {confirmedAt} = ports
-  let isConfirming = false
   let workRead: WorkRead = {sentAt: startedAt, answeredAt: startedAt}
   /** Bytes that the jobs whose records are being written are estimated to take. */
   let memoryBeingStored = 0
@@ -130,6 +128,16 @@
     isStoreFailing: ports.isStoreFailing,
     onSuperseded: handleSuperseded,
   })
+  const confirmation = createConfirmation({
+    clock,
+    store,
+    term,
+    confirmedAt: ports.confirmedAt,
+    committedAt: ledger.lastConfirmedAt,
+    isClosed: () => isClosed,
+    onConfirmed: releaseExpired,
+    onSuperseded: handleSuperseded,
+  })
   const leaderLoad = createLeaderLoad(clock, log, term)
   const planningPass = createPlanningPass(clock)
   const followers = createFollowers(clock)
@@ -137,6 +145,7 @@
     clock,
     log,
     leaseDuration: limits.leaseDuration,
+    confirmation,
     hasJoined: name => name === ports.self || followers.hasJoined(name),
     knewLaterTermAt: ports.knewLaterTermAt,
     onChange: () => writeTerm(followers.current()),
@@ -185,6 +194,7 @@
     onChange: schedulePass,
     onForgotten: relays.forget,
     mayRunInherited: barrier.has,
+    confirmation,
     open: worker =>
       openWorkerLink(worker, {
         term,
@@ -202,6 +212,7 @@
     log,
     jobs,
     leaseDuration: limits.leaseDuration,
+    confirmation,
     linkOf: worker => pool.linkOf(worker),
     onChange: schedulePass,
     workRead: () => workRead,
@@ -259,7 +270,7 @@
   })
 
   function unconfirmedFor(): Milliseconds {
-    return clock.now() - Math.max(confirmedAt, ledger.lastConfirmedAt())
+    return clock.now() - confirmation.confirmedAt()
   }
 
   /** False when another instance may have become leader without this one knowing. */
@@ -267,15 +278,11 @@
     return !isClosed && unconfirmedFor() < unconfirmedLimit(followers.isFollowed)
   }
 
-  /** Reads the leader key. Other calls are too rare for a leader that nobody follows when it has little to do. */
-  async function confirmLead(): Promise<void> {
-    isConfirming = true
-    const sentAt = clock.now()
-    const read = await store.read(LEADER_KEY)
-    isConfirming = false
-    if (read.isErr() || isClosed) return
-    if (read.value?.revision === term) confirmedAt = Math.max(confirmedAt, sentAt)
-    else handleSuperseded()
+  /** Lets tasks start elsewhere whose leases have expired. */
+  function releaseExpired(): void {
+    pool.sweep()
+    barrier.check()
+    schedulePass()
   }
 
   /** The service is the present one of the job's queue. */
@@ -342,14 +349,12 @@
     leaderLoad.recordTimerDelay(clock.now() - dueAt)
     relays.check()
     leaderLoad.summarize(describeBacklog)
-    pool.sweep()
-    barrier.check()
+    releaseExpired()
     const names = followers.namesToRecord()
     if (names) writeTerm(names)
-    if (!isConfirming && unconfirmedFor() > unconfirmedLimit(followers.isFollowed) * CONFIRMATION_SHARE)
-      void confirmLead()
+    // Other calls are too rare for a leader that nobody follows when it has little to do.
+    if (unconfirmedFor() > unconfirmedLimit(followers.isFollowed) * CONFIRMATION_SHARE) confirmation.request()
     jobs.removeExpired()
-    schedulePass()
     const next = clock.now() + SWEEP_MS
     clock.after(SWEEP_MS, () => sweep(next))
   }
@@ -441,7 +446,7 @@
       handleSuperseded()
       return false
     }
-    confirmedAt = Math.max(confirmedAt, loadStartedAt)
+    confirmation.record(loadStartedAt)
     initialEntries = listed.value.items.length
     relays.check()
     applyInitialWork(work.value.items)
@@ -466,7 +471,7 @@
       clock,
       {
         onList(items, sentAt) {
-          confirmedAt = Math.max(confirmedAt, sentAt)
+          confirmation.record(sentAt)
           applyStoredWork(items, sentAt)
         },
         // A watch may miss changes for a while, so that it confirms nothing.
--- a/src/planner/reports.ts
+++ b/src/planner/reports.ts
@@ -8,6 +8,7 @@
 import {parseTask} from "../pipelines/model.js"
 import {isDone} from "../pipelines/progress.js"
 import type {EndedTask, RunningTask, WorkerReport} from "../pipelines/ports.js"
+import type {Confirmation} from "./confirmation.js"
 import type {JobTable} from "./jobtable.js"
 import type {Assignment, StepRun, WorkerState} from "./state.js"
 import {assign, assignmentKey, findStepRun, release} from "./state.js"
@@ -33,6 +34,7 @@
   readonly log: Logger
   readonly jobs: JobTable
   readonly leaseDuration: Milliseconds
+  readonly confirmation: Confirmation
   readonly linkOf: (worker: WorkerState) => WorkerLink | undefined
   /** Called when capacity has become free or a step may have become ready. */
   readonly onChange: () => void
@@ -56,7 +58,7 @@
 }
 
 export function createReportReader(context: ReportContext): ReportReader {
-  const {clock, log, jobs, leaseDuration, linkOf, onChange, onFenced, workRead} = context
+  const {clock, log, jobs, leaseDuration, confirmation, linkOf, onChange, onFenced, workRead} = context
   /** For each worker, a promise that resolves when the ends handled so far are stored. */
   const storing = new Map<WorkerState, Promise<void>>()
 
@@ -96,7 +98,13 @@
     const reported = unknownJobs.get(job)
     if (!reported) return false
     const last = Math.max(...reported.lastByWorker.values())
-    if (clock.now() - last < leaseDuration * REPORT_WAIT_LEASES) return true
+    // A later leader may have extended the leases, unless there was none yet when they had expired.
+    const expiredAt = last + leaseDuration * REPORT_WAIT_LEASES
+    if (clock.now() < expiredAt) return true
+    if (confirmation.confirmedAt() < expiredAt) {
+      confirmation.request()
+      return true
+    }
     unknownJobs.delete(job)
     return false
   }
--- a/src/planner/workerpool.ts
+++ b/src/planner/workerpool.ts
@@ -6,6 +6,7 @@
 import type {Logger} from "../core/logger.js"
 import type {WorkerListing} from "../pipelines/model.js"
 import type {FleetReader, KeyChange, StoredItem} from "../pipelines/ports.js"
+import type {Confirmation} from "./confirmation.js"
 import type {Ledger} from "./ledger.js"
 import {formatRoster} from "./records.js"
 import type {WorkerState} from "./state.js"
@@ -42,10 +43,11 @@
   readonly onForgotten: (id: string) => void
   /** True while the worker may run tasks that an earlier leader started, so that the roster has to name it. */
   readonly mayRunInherited: (worker: WorkerState) => boolean
+  readonly confirmation: Confirmation
 }
 
 export function createWorkerPool(context: WorkerPoolContext): WorkerPool {
-  const {clock, log, ledger, reader, open, onChange, onForgotten, mayRunInherited} = context
+  const {clock, log, ledger, reader, open, onChange, onForgotten, mayRunInherited, confirmation} = context
   const workers = new Map<string, WorkerState>()
   const links = new Map<WorkerState, WorkerLink>()
   /** The revisions of present entries that name no worker, by key. */
@@ -133,12 +135,23 @@
     return listing ? applyListing(listing) : false
   }
 
-  /** True when the worker's lease has expired even if its clock runs as slow as is allowed. */
-  function hasExpired(worker: WorkerState): boolean {
-    const bounds = boundWorkerClock(worker, clock.now())
+  /** True when the worker's lease has expired by then even if its clock runs as slow as is allowed. */
+  function hasExpired(worker: WorkerState, instant: Milliseconds): boolean {
+    const bounds = boundWorkerClock(worker, instant)
     return bounds !== undefined && bounds.least > worker.deadline
   }
 
+  /**
+   * True when the worker's lease has expired before a later leader can have extended it, which would not be known here if
+   * this instance is cut off.
+   */
+  function hasExpiredForCertain(worker: WorkerState): boolean {
+    if (!hasExpired(worker, clock.now())) return false
+    if (hasExpired(worker, confirmation.confirmedAt())) return true
+    confirmation.request()
+    return false
+  }
+
   return {
     workers,
     linkOf: worker => links.get(worker),
@@ -177,7 +190,7 @@
     sweep() {
       const now = clock.now()
       for (const worker of [...workers.values()]) {
-        if (!worker.isReachable && worker.assignments.size > 0 && hasExpired(worker)) {
+        if (!worker.isReachable && worker.assignments.size > 0 && hasExpiredForCertain(worker)) {
           const {id} = worker.listing
           log.warn(
             {event: "worker-lapsed", worker: id, runs: worker.assignments.size},
--- a/test/fleet/barrier.test.ts
+++ b/test/fleet/barrier.test.ts
@@ -15,6 +15,8 @@
   /** When each instance joins, after the beginning of the term. */
   readonly joins?: Readonly<Record<string, number>>
   readonly knewLaterTermFor?: (term: number) => number
+  /** How long the store confirms this leader, after the beginning of the term. */
+  readonly confirmedFor?: number
 }): Promise<number> {
   const clock = virtualClock(100_000)
   const startedAt = clock.now()
@@ -22,6 +24,11 @@
     clock,
     log: SILENT_LOGGER,
     leaseDuration: LEASE_MS,
+    confirmation: {
+      confirmedAt: () => Math.min(clock.now(), startedAt + (options.confirmedFor ?? Infinity)),
+      record: () => undefined,
+      request: () => undefined,
+    },
     hasJoined: name => clock.now() - startedAt >= (options.joins?.[name] ?? Infinity),
     knewLaterTermAt: term => startedAt - (options.knewLaterTermFor?.(term) ?? 0),
     onChange: () => undefined,
@@ -71,3 +78,10 @@
   t.true((await closedFor({leaders: ofEarlierVersion, knewLaterTermFor: () => 12_000})) > 15_000 + LEASE_MS)
   t.true((await closedFor({leaders: undefined, knewLaterTermFor: () => 12_000})) > 15_000 + LEASE_MS)
 })
+
+test("the barrier stays closed for a leader that the store does not confirm after the leases have expired", async t => {
+  const leaders = [{name: "entry-1", term: 10, following: following([], 0)}]
+  const expired = 1500 + LEASE_MS * 1.1
+  t.true((await closedFor({leaders})) < expired + 500)
+  t.is(await closedFor({leaders, confirmedFor: expired - 100}), Infinity)
+})
--- a/test/fleet/failures.test.ts
+++ b/test/fleet/failures.test.ts
@@ -246,6 +246,91 @@
   return {fleet, cutOff, findLater}
 }
 
+// The leader of a zone that was cut off counted the leases of workers beyond the cut as expired, while the leader that had
+// replaced it extended them, and started their tasks again on workers of its own zone.
+test("a leader that is cut off with followers starts no tasks again that a later leader keeps running", async t => {
+  const fleet = testFleet({
+    instances: 6,
+    workers: 3,
+    planOf: () => ({demand: STEP.demand, duration: 20_000}),
+  })
+  await fleet.clock.advance(1000)
+  const job = jobOf(721, [{count: 4, perWorker: 2, estimate: 20_000}])
+  await fleet.submit("entry-1", job)
+  await fleet.clock.advance(300)
+  const former = fleet.leader() ?? ""
+  const [first = "", second = "", ...others] = fleet.names().filter(name => name !== former)
+  const tasks = [...fleet.workers.runningByWorker()]
+  const [kept = ""] = tasks.filter(([, running]) => running.length === 2).map(([id]) => id)
+  t.deepEqual(tasks.map(([, running]) => running.length).sort(), [0, 2, 2])
+  for (const inside of [former, first, second]) {
+    fleet.store.setMode("silent", inside)
+    fleet.workers.disconnect(kept, inside)
+    for (const outside of others) fleet.partition(inside, outside)
+  }
+  for (const [id] of tasks)
+    if (id !== kept) for (const outside of others) fleet.workers.disconnect(id, outside)
+  await fleet.clock.advance(10_000)
+  t.is(fleet.instance(former).counts().leads, 1, "it is followed")
+  t.deepEqual(fleet.workers.violations(), [])
+  fleet.healPartitions()
+  for (const [id] of tasks) fleet.workers.reconnect(id)
+  for (const inside of [former, first, second]) fleet.store.setMode("up", inside)
+  await fleet.clock.advance(25_000)
+  t.is(await fleet.stateAt(others[0] ?? "", job), "completed")
+  t.deepEqual(fleet.workers.violations(), [])
+})
+
+for (const seed of [1, 2, 3, 4]) {
+  test(`no task runs twice while zones are cut off one after another, seed ${seed}`, async t => {
+    const random = seededRandom(seed)
+    const zoneOf = (name: string): number => Number(name.split("-")[1]) % 3
+    const durations = seededRandom(seed)
+    const plans = new Map<string, number>()
+    const fleet = testFleet({
+      seed,
+      instances: 8,
+      workers: 12,
+      planOf(task) {
+        const duration = plans.get(task) ?? 300 + durations.next() * 5000
+        plans.set(task, duration)
+        return {demand: STEP.demand, duration}
+      },
+    })
+    const names = fleet.names()
+    const workers = Array.from({length: 12}, (_, index) => `worker-${index + 1}`)
+    let submitted = 0
+    async function submitFor(span: number): Promise<void> {
+      for (let time = 0; time < span; time += 150) {
+        const name = names[Math.floor(random.next() * names.length)] ?? ""
+        submitted += 1
+        void fleet.instance(name).intake.submit(jobOf(seed * 10_000 + submitted, [{count: 2}]), 3000)
+        await fleet.clock.advance(150)
+      }
+    }
+    function cut(zone: number): void {
+      for (const name of names) {
+        const isInside = zoneOf(name) === zone
+        if (isInside) fleet.store.setMode("silent", name)
+        for (const other of names) if (isInside && zoneOf(other) !== zone) fleet.partition(name, other)
+        for (const worker of workers)
+          if ((zoneOf(worker) === zone) !== isInside) fleet.workers.disconnect(worker, name)
+      }
+    }
+    await fleet.clock.advance(1000)
+    for (let round = 0; round < 3; round += 1) {
+      await submitFor(3000 + random.next() * 3000)
+      cut(zoneOf(fleet.leader() ?? "entry-1"))
+      await submitFor(8000 + random.next() * 4000)
+      fleet.healPartitions()
+      for (const name of names) fleet.store.setMode("up", name)
+      for (const worker of workers) fleet.workers.reconnect(worker)
+    }
+    await fleet.clock.advance(10_000)
+    t.deepEqual(fleet.workers.violations(), [])
+  })
+}
+
 function pingOf(name: string, followedTerm: number, leaderClockMs: number): Ping {
   const sender = {name, address: `${name}:7000`, processors: 1}
   return {sender, ledTerm: 0, followedTerm, leaderClockMs, membersDigest: 0}
--- a/test/fleet/reports.test.ts
+++ b/test/fleet/reports.test.ts
@@ -22,6 +22,7 @@
   const port = store.portFor("entry-1")
   const never = (): boolean => false
   let readSentAt: number | undefined
+  let confirmedUntil = Infinity
   const ledger = createLedger({
     store: port,
     term,
@@ -42,6 +43,11 @@
     log: SILENT_LOGGER,
     jobs,
     leaseDuration: LEASE_MS,
+    confirmation: {
+      confirmedAt: () => Math.min(clock.now(), confirmedUntil),
+      record: () => undefined,
+      request: () => undefined,
+    },
     linkOf: () => undefined,
     onChange: () => undefined,
     workRead: () => ({sentAt: readSentAt ?? clock.now(), answeredAt: clock.now()}),
@@ -53,7 +59,10 @@
   const setReadSentAt = (at: number | undefined): void => {
     readSentAt = at
   }
-  return {clock, store, jobs, worker, report, reader, setReadSentAt}
+  const setConfirmedUntil = (instant: number): void => {
+    confirmedUntil = instant
+  }
+  return {clock, store, jobs, worker, report, reader, setReadSentAt, setConfirmedUntil}
 }
 
 function running(task: string, attempt = 1): RunningTask {
@@ -212,6 +221,18 @@
   t.false(reader.isAwaitingReport("00000000000000cc"), "the wait is bounded because the worker may be gone")
 })
 
+test("a job waits on for reported runs while a later leader may keep them running", async t => {
+  const {clock, jobs, report, reader, setConfirmedUntil} = setUp()
+  const job = jobOf(15, [{count: 1}])
+  await report([running(`${job.id}.0.0.0`)], [])
+  jobs.add(job, NO_PROGRESS, true)
+  setConfirmedUntil(clock.now() + LEASE_MS)
+  await clock.advance(LEASE_MS * 4)
+  t.true(reader.isAwaitingReport(job.id))
+  setConfirmedUntil(clock.now())
+  t.false(reader.isAwaitingReport(job.id))
+})
+
 test("an end that changes nothing is acknowledged only with the change before it, also at another worker", async t => {
   const {clock, store, jobs, worker, report, reader} = setUp()
   const other = createWorker(listingOf("worker-2"), true, clock.now())
