The ledger ends its pause after a failure by a timer, not by the clock

Cause: the timer after a failed transaction called for the next one, which was refused while the clock was before the end of the pause. A timer may fire a fraction of a millisecond early, and there was no other call. Ruled out: a condition that cannot hold, since nothing was sent.

Change: the timer itself ends the pause.

The new test, with a clock whose timers fire 0.1 ms early, fails on the former commit.

--- a/src/planner/ledger.ts
+++ b/src/planner/ledger.ts
@@ -133,7 +133,8 @@
   let isRosterInFlight = false
   let openTransactions = 0
   let lastBegunAt = 0
-  let retryAt = 0
+  /** Pauses after failed transactions that are not over yet. */
+  let openPauses = 0
   let isClosed = false
   let lastConfirmedAt = -Infinity
   let commitCount = 0
@@ -267,7 +268,12 @@
   function handleFailure(batch: Batch, certainty: "not-run" | "unknown"): void {
     for (const entry of batch.newJobs) if (certainty === "unknown") entry.maybeWritten = true
     refuseOverdueJobs()
-    retryAt = clock.now() + RETRY_MS
+    openPauses += 1
+    // Timers may fire a fraction of a millisecond early by the clock, so the end of the pause is not found by the clock.
+    clock.after(RETRY_MS, () => {
+      openPauses -= 1
+      commitNext()
+    })
   }
 
   /**
@@ -313,7 +319,6 @@
     if (result.isErr()) {
       handleFailure(batch, result.error.certainty)
       log.debug({event: "commit-failed", reason: result.error.message}, "a commit to the store failed")
-      clock.after(RETRY_MS, commitNext)
     } else if (result.value.type === "committed") handleCommitted(batch, result.value.revision, sentAt)
     else handleConflict(batch, result.value.items, sentAt)
     commitNext()
@@ -322,7 +327,7 @@
   /** Starts the next transaction, unless enough are open or the last one started only just now. */
   function commitNext(): void {
     const now = clock.now()
-    if (isClosed || now < retryAt || openTransactions >= MAX_PARALLEL_TRANSACTIONS) return
+    if (isClosed || openPauses > 0 || openTransactions >= MAX_PARALLEL_TRANSACTIONS) return
     if (openTransactions > 0 && now - lastBegunAt < PARALLEL_AFTER_MS) return
     const batch = buildBatch()
     if (!isEmpty(batch)) void commit(batch)
--- a/test/fleet/ledger.test.ts
+++ b/test/fleet/ledger.test.ts
@@ -2,6 +2,7 @@
 import test from "ava"
 import {SILENT_LOGGER} from "../../src/core/logger.js"
 import {virtualClock} from "../../src/core/virtualclock.js"
+import {NO_PROGRESS} from "../../src/pipelines/progress.js"
 import {createLedger} from "../../src/planner/ledger.js"
 import {LEADER_KEY} from "../../src/planner/records.js"
 import {fakeStore} from "../support/fakestore.js"
@@ -28,3 +29,30 @@
   t.is(await sent, "unknown")
   t.is(await waiting, "not-stored", "its transaction had not been sent")
 })
+
+// Ends that came while the store was down were never written, and their jobs showed as running until the next write.
+test("what could not be written is repeated although a timer fires before the clock has come that far", async t => {
+  const clock = virtualClock(1000)
+  const early = {...clock, after: (delay: number, callback: () => void) => clock.after(delay - 0.1, callback)}
+  const store = fakeStore(clock)
+  store.put(LEADER_KEY, "leader")
+  const never = (): boolean => false
+  const ledger = createLedger({
+    store: store.portFor("entry-1"),
+    term: store.get(LEADER_KEY)?.revision ?? 0,
+    clock: early,
+    log: SILENT_LOGGER,
+    isStoreFailing: never,
+    onSuperseded: never,
+  })
+  store.setMode("refusing")
+  let isStored = false
+  void ledger.writeProgress(jobOf(3, [{}]).id, NO_PROGRESS).then(() => {
+    isStored = true
+  })
+  await clock.advance(4500)
+  store.setMode("up")
+  await clock.advance(1000)
+  t.true(isStored)
+  ledger.close()
+})
