--- a/src/pipelines/footprint.ts
+++ b/src/pipelines/footprint.ts
@@ -5,21 +5,24 @@
  */
 import type {PipelineJob} from "./model.js"
 
-/** Bytes of a job without its steps, of the description of a step, of a step of an open occurrence and of a task of it. */
+/**
+ * Bytes of a job without its steps, of the description of a step, of a step of an open occurrence and of a task of it,
+ * rounded up from the heap that many of them took on Node.js 20.
+ */
 const JOB_BYTES = 2000
 const STEP_BYTES = 600
 const OPEN_STEP_BYTES = 1200
 const OPEN_TASK_BYTES = 48
 
-/** Of the occurrences that are due, a job opens the first one, and further ones up to this many steps and tasks. */
+/** Of the occurrences that are due, a job opens the first one, and others while there are no more steps and tasks. */
 const MAX_OPEN_STEPS = 32
 const MAX_OPEN_TASKS = 500
 
-/** Limit on one job. */
+/** Limit on one job: a step of 100,000 tasks fits. */
 export const MAX_JOB_BYTES = 8 * 2 ** 20
 /**
- * Limit on all accepted jobs, under a third of the heap that the deploy file gives an instance. A leader that takes over
- * while all jobs are open, and reads them from the store, needs about twice as much for a moment.
+ * Limit on all accepted jobs, under a third of the heap that the deploy file gives an instance (160 MB). The rest is for
+ * the program, for the texts of the jobs while a new leader reads them, and for jobs that were stored without the leader.
  */
 export const MAX_ACCEPTED_BYTES = 48 * 2 ** 20
 
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -285,7 +285,7 @@
     schedulePass()
   }
 
-  /** The service is the present one of the job's queue. */
+  /** True if no run of the job can be unknown here, and a later leader would find one at the service. */
   function mayStart({job, isInherited}: ActiveJob, service: string): boolean {
     if (!queueServices.mayUse(job, service)) return false
     return !isInherited || ![service, ...queueServices.listUsed(job)].some(barrier.blocks)
