--- a/test/platform/calls.test.ts
+++ b/test/platform/calls.test.ts
@@ -72,6 +72,18 @@
   return {address, requests, close: () => close(server)}
 }
 
+const START_ORDER = {
+  task: "t.0.0.1",
+  attempt: 1,
+  payload: "",
+  incarnation: 1,
+  deadline: 605_000,
+  term: 7,
+  ticket: "",
+  checkpoint: "",
+  timeout: 5000,
+}
+
 /** Starts a worker that records what it is asked, with its incarnations numbered from 1, and a client for it. */
 async function startRestartableWorker(t: ExecutionContext) {
   const requests: Readonly<Record<string, unknown>>[] = []
@@ -259,27 +271,16 @@
 test("a start order reaches only the incarnation of the worker that its deadline was chosen for", async t => {
   const worker = await startRestartableWorker(t)
   const {calls, target} = worker
-  const order = {
-    task: "t.0.0.1",
-    attempt: 1,
-    payload: "",
-    incarnation: 1,
-    deadline: 605_000,
-    term: 7,
-    ticket: "",
-    checkpoint: "",
-    timeout: 5000,
-  }
-  const started = await Promise.all([1, 2, 3].map(attempt => calls.start(target, {...order, attempt})))
+  const started = await Promise.all([1, 2, 3].map(attempt => calls.start(target, {...START_ORDER, attempt})))
   for (const answer of started) t.deepEqual(answer._unsafeUnwrap(), {type: "started"})
   t.true(worker.starts().length === 3, "new connections of the same incarnation are used")
   await worker.restart()
-  t.is((await calls.start(target, order))._unsafeUnwrapErr().certainty, "not-run")
+  t.is((await calls.start(target, START_ORDER))._unsafeUnwrapErr().certainty, "not-run")
   const request = {term: 7, acknowledged: 0, incarnation: 1, deadline: undefined, wait: 0}
   t.true((await calls.report(target, request)).isOk(), "the connection leads to the later incarnation")
-  t.is((await calls.start(target, order))._unsafeUnwrapErr().certainty, "not-run")
+  t.is((await calls.start(target, START_ORDER))._unsafeUnwrapErr().certainty, "not-run")
   t.is(worker.starts().length, 3)
-  t.true((await calls.start(target, {...order, incarnation: 2})).isOk())
+  t.true((await calls.start(target, {...START_ORDER, incarnation: 2})).isOk())
   t.is(worker.starts().length, 4)
 })
 
@@ -287,19 +288,11 @@
   const silent = createServer(() => undefined)
   const address = await bind(silent)
   t.teardown(() => close(silent))
-  const order = {
-    task: "t.0.0.1",
-    attempt: 1,
-    payload: "",
-    incarnation: 1,
-    deadline: 605_000,
-    term: 7,
-    ticket: "",
-    checkpoint: "",
-    timeout: 200,
-  }
   const calls = workerCalls(jsonClient(), jsonClient(1))
-  t.is((await calls.start({id: "worker", address}, order))._unsafeUnwrapErr().certainty, "not-run")
+  t.is(
+    (await calls.start({id: "worker", address}, {...START_ORDER, timeout: 200}))._unsafeUnwrapErr().certainty,
+    "not-run",
+  )
 })
 
 test("a refused connection fails as not-run, a missing answer as unknown", async t => {
