--- a/review/standins-2/client.ts
+++ b/review/standins-2/client.ts
@@ -27,6 +27,15 @@
 
 export interface Client {
   readonly submit: (queue: Queue, pipeline: readonly Body[], spec: string) => Promise<Submission>
+  /** Hands a job in and leaves without an answer after the given time. The status is 0 if there was none by then. */
+  readonly submitAndLeave: (
+    queue: Queue,
+    pipeline: readonly Body[],
+    spec: string,
+    patience: number,
+  ) => Promise<{readonly job: string; readonly status: number}>
+  /** Cancels the job at any instance. The status is 0 without an answer. */
+  readonly cancel: (queue: Queue, job: string) => Promise<number>
   /** The state that is shown, or the status where none is; 0 without an answer. */
   readonly state: (queue: Queue, job: string) => Promise<string | number>
 }
@@ -39,11 +48,12 @@
     {host, prefix}: Queue,
     job: string,
     body: unknown,
+    timeout = DEADLINE_MS,
   ): Promise<{readonly status: number; readonly body: unknown}> {
     turn += 1
     const address = addresses[turn % addresses.length] ?? ""
     const headers = {Host: host, "X-Lacewingstream-Deadline-Ms": String(DEADLINE_MS)}
-    const reply = await send(method, address, `${prefix}${job}`, headers, body, DEADLINE_MS)
+    const reply = await send(method, address, `${prefix}${job}`, headers, body, timeout)
     return {status: reply?.status ?? 0, body: reply?.body}
   }
 
@@ -59,6 +69,15 @@
       }
       return {job, statuses, isAccepted: false, at: performance.now()}
     },
+    async submitAndLeave(queue, pipeline, spec, patience) {
+      const job = randomBytes(NAME_BYTES).toString("hex")
+      const {status} = await request("POST", queue, job, {Spec: spec, Pipeline: pipeline}, patience)
+      return {job, status}
+    },
+    async cancel(queue, job) {
+      const {status} = await request("DELETE", queue, job, undefined)
+      return status
+    },
     async state(queue, job) {
       const {status, body} = await request("GET", queue, job, undefined)
       return status === 200 ? asText(asObject(body).State) : status
--- a/review/standins-2/manyends.ts
+++ b/review/standins-2/manyends.ts
@@ -59,9 +59,9 @@
     await pause(OUTAGE_AFTER_MS)
     if (hasTrouble()) {
       record.write("the store is down")
-      store.setDown(true)
+      store.setOutage("busy")
       await pause(OUTAGE_MS)
-      store.setDown(false)
+      store.setOutage("none")
       record.write("the store answers again")
     }
     await pause(FINISH_MS)
--- a/review/standins-2/store.ts
+++ b/review/standins-2/store.ts
@@ -27,14 +27,18 @@
   readonly item: Item | undefined
 }
 
+export type Outage = "none" | "busy" | "silent"
+
 export interface Store {
   readonly address: string
   /** Writes a key as a worker or the operator does. */
   readonly put: (key: string, value: Buffer | string) => void
   readonly remove: (key: string) => void
   readonly read: (key: string) => string | undefined
-  /** While set, all calls of the system are refused with 503, and nothing is done. */
-  readonly setDown: (isDown: boolean) => void
+  /** "busy": calls are refused with 503. "silent": calls that come get no answer. In both, nothing is done. */
+  readonly setOutage: (outage: Outage) => void
+  /** When a transaction came that has written the key; undefined if none has. */
+  readonly writtenBy: (key: string) => number | undefined
   /** Counts the transactions of the system by the status that they were answered with. */
   readonly transactions: () => Readonly<Record<string, number>>
   readonly close: () => void
@@ -48,7 +52,9 @@
   const items = new Map<string, Item>()
   let history: Change[] = []
   let revision = 100
-  let isDown = false
+  let outage: Outage = "none"
+  /** When the transaction came that last wrote a key. */
+  const writtenBy = new Map<string, number>()
   const transactions: Record<string, number> = {}
 
   function record(key: string, item: Item | undefined): void {
@@ -90,7 +96,7 @@
     const until = performance.now() + Number(query.get("WaitMs"))
     for (;;) {
       const events = history.filter(change => change.revision > after && change.key.startsWith(prefix))
-      if (events.length > 0 || performance.now() >= until || isDown)
+      if (events.length > 0 || performance.now() >= until || outage !== "none")
         return {
           status: 200,
           body: {
@@ -104,7 +110,7 @@
     }
   }
 
-  function commit(body: Body): Reply {
+  function commit(body: Body, receivedAt: number): Reply {
     const expected = asArray(body.Expected).map(asObject)
     const writes = asArray(body.Writes).map(asObject)
     const removed = asArray(body.Remove).map(asText)
@@ -119,13 +125,16 @@
     revision += 1
     writes.forEach(({Key}, index) => {
       write(asText(Key), values[index] ?? Buffer.alloc(0))
+      writtenBy.set(asText(Key), receivedAt)
     })
     for (const key of removed) erase(key)
     return {status: 200, body: {Revision: revision}}
   }
 
   async function answer({method, path, query, body}: Call): Promise<Reply | "none"> {
-    if (isDown) return {status: 503}
+    if (outage === "busy") return {status: 503}
+    if (outage === "silent") return "none"
+    const receivedAt = performance.now()
     await pause(ANSWER_MS)
     if (path === "/api/kv-key") {
       const item = items.get(query.get("Key") ?? "")
@@ -134,7 +143,7 @@
     if (path === "/api/kv-range") return readRange(query)
     if (path === "/api/kv-watch") return watch(query)
     if (method === "POST" && path === "/api/kv-txn") {
-      const reply = commit(body)
+      const reply = commit(body, receivedAt)
       transactions[reply.status] = (transactions[reply.status] ?? 0) + 1
       return reply
     }
@@ -153,9 +162,10 @@
       erase(key)
     },
     read: key => items.get(key)?.value.toString("utf8"),
-    setDown(down) {
-      isDown = down
+    setOutage(next) {
+      outage = next
     },
+    writtenBy: key => writtenBy.get(key),
     transactions: () => transactions,
     close: listener.close,
   }
