review: stand-ins cut watches in an outage and time out; case 7 applies its excuse

Found on reading the cases once more beside the issue. Case 7 counted an end as taken note of without a look at the worker's lease; it now leaves out ends where the lease lapsed before Observed reached them, also with nothing running. The store answered waiting watches with 200 as an outage began, and lost history without a 410. The records name what each job asks for.

--- a/review/standins-2/idlecase.ts
+++ b/review/standins-2/idlecase.ts
@@ -44,6 +44,7 @@
     },
     async ({client, queue, fleet, store}) => {
       const pipeline = [{Count: TASKS, Cpu: TASK_CPU, MemMb: 1000, EstimateMs: TASK_MS}]
+      record.write(`each job: ${JSON.stringify(pipeline)}`)
       const accepted: string[] = []
       const until = performance.now() + TRAFFIC_LIMIT_MS
       for (let index = 0; index < JOBS && performance.now() < until; index += 1) {
--- a/review/standins-2/latejob.ts
+++ b/review/standins-2/latejob.ts
@@ -36,6 +36,7 @@
   },
   async ({store, client, queue}) => {
     const pipeline = [{Count: 1, Cpu: 500, MemMb: 100, EstimateMs: TASK_MS}]
+    record.write(`each job: ${JSON.stringify(pipeline)}`)
     /** When the cancelling of a job was answered, by job. */
     const cancelledAt = new Map<string, number>()
 
--- a/review/standins-2/manyends.ts
+++ b/review/standins-2/manyends.ts
@@ -19,22 +19,35 @@
 interface DoneEnd {
   readonly worker: string
   readonly attempt: number
-  isNoted: boolean
+  readonly at: number
+  /** When `Observed` reached the end; undefined before. */
+  notedAt: number | undefined
 }
 
 const record = openRecord()
 const doneEnds = new Map<string, DoneEnd[]>()
 /** Starts after a run of the task had ended as done. */
 const repeated: {readonly task: string; readonly attempt: number; readonly after: DoneEnd}[] = []
-let lapsed = 0
+/** When the leases of workers lapsed, by worker. */
+const lapses = new Map<string, readonly number[]>()
 let starts = 0
 
+/** An end is taken note of unless the worker's lease lapsed between the two. */
+function isTakenNoteOf({worker, at, notedAt}: DoneEnd): boolean {
+  if (notedAt === undefined) return false
+  return !(lapses.get(worker) ?? []).some(lapsedAt => lapsedAt >= at && lapsedAt <= notedAt)
+}
+
 await playCase(
   {
     instances: 4,
     workers: 3,
     processors: 16,
-    onEvent({type, worker, task, attempt, how}) {
+    onLapse(worker, at) {
+      record.write(`worker ${worker}: the lease has lapsed`)
+      lapses.set(worker, [...(lapses.get(worker) ?? []), at])
+    },
+    onEvent({at, type, worker, task, attempt, how}) {
       record.write(`worker ${worker}: ${type} ${task} attempt ${attempt} ${how}`)
       const ends = doneEnds.get(task) ?? []
       if (type === "start") {
@@ -42,14 +55,14 @@
         const [after] = ends
         if (after) repeated.push({task, attempt, after})
       } else if (type === "end" && how === "done") {
-        doneEnds.set(task, [...ends, {worker, attempt, isNoted: false}])
-      } else if (type === "end" && how === "lapsed") lapsed += 1
-      else if (type === "noted")
-        for (const end of ends) if (end.worker === worker && end.attempt === attempt) end.isNoted = true
+        doneEnds.set(task, [...ends, {worker, attempt, at, notedAt: undefined}])
+      } else if (type === "noted")
+        for (const end of ends) if (end.worker === worker && end.attempt === attempt) end.notedAt ??= at
     },
   },
   async ({store, workers, client, queue, fleet}) => {
     const pipeline = [{Count: TASKS, Cpu: TASK_CPU, MemMb: 50, EstimateMs: TASK_MS}]
+    record.write(`each job: ${JSON.stringify(pipeline)}`)
     const submissions: Submission[] = []
     for (let index = 0; index < JOBS; index += BATCH) {
       const batch = Array.from({length: BATCH}, () => client.submit(queue, pipeline, String(TASK_MS)))
@@ -72,11 +85,12 @@
       if (state !== "completed") unfinished += 1
       record.write(`job ${job}: state ${state}`)
     }
-    const broken = repeated.filter(({after}) => after.isNoted)
+    const broken = repeated.filter(({after}) => isTakenNoteOf(after))
     for (const {task, attempt, after} of broken)
       record.write(
         `TWICE ${task}: attempt ${attempt} started after attempt ${after.attempt} had ended as done at ${after.worker}`,
       )
+    const lapsed = [...lapses.values()].reduce((sum, times) => sum + times.length, 0)
     const most = workers.map(worker => worker.mostUnnoted()).join(", ")
     record.write(`most ends listed and not noted, by worker: ${most}; leases lapsed: ${lapsed}`)
     record.write(`ends by themselves: ${fleet.instances.flatMap(({ownEnds}) => ownEnds()).join(", ")}`)
--- a/review/standins-2/scene.ts
+++ b/review/standins-2/scene.ts
@@ -14,6 +14,8 @@
 const HOST = "127.0.0.1"
 const READY_LIMIT_MS = 15_000
 const READY_POLL_MS = 100
+/** A script runs for 120 s at most. */
+const SCRIPT_LIMIT_MS = 110_000
 /** Traffic starts this long after the machines do. */
 const LEAD_MS = 12_000
 
@@ -26,6 +28,7 @@
   /** Called once the store is up and before the instances start. */
   readonly prepare?: (store: Store) => void | Promise<void>
   readonly onEvent: (event: WorkerEvent) => void
+  readonly onLapse?: (worker: string, at: number) => void
 }
 
 export interface Scene {
@@ -134,6 +137,7 @@
         seenToken: 0,
         durationOf: Number,
         onEvent: options.onEvent,
+        onLapse: options.onLapse,
         register: (id, entry) => {
           store.put(`servers/${id}`, JSON.stringify(entry))
         },
@@ -146,6 +150,10 @@
     storeAddress: store.address,
     adviceAddress: "127.0.0.1:1",
   })
+  const limit = setTimeout(() => {
+    process.stderr.write("The case took too long.\n")
+    void fleet.end().then(() => process.exit(EXIT.notRun))
+  }, SCRIPT_LIMIT_MS)
   for (const signal of ["SIGTERM", "SIGINT"] as const)
     process.once(signal, () => {
       void fleet.end().then(() => process.exit(EXIT.notRun))
@@ -159,6 +167,7 @@
       code = held ? EXIT.held : EXIT.broken
     }
   } finally {
+    clearTimeout(limit)
     await fleet.end()
     for (const worker of workers) worker.close()
     store.close()
--- a/review/standins-2/store.ts
+++ b/review/standins-2/store.ts
@@ -52,6 +52,8 @@
   const items = new Map<string, Item>()
   let history: Change[] = []
   let revision = 100
+  /** The latest change that the history no longer has. */
+  let discardedRevision = 0
   let outage: Outage = "none"
   /** When the transaction came that last wrote a key. */
   const writtenBy = new Map<string, number>()
@@ -60,8 +62,10 @@
   function record(key: string, item: Item | undefined): void {
     const now = performance.now()
     history.push({key, revision, at: now, item})
-    if ((history[0]?.at ?? now) < now - 2 * HISTORY_MS)
-      history = history.filter(({at}) => at > now - HISTORY_MS)
+    if ((history[0]?.at ?? now) > now - 2 * HISTORY_MS) return
+    const kept = history.filter(({at}) => at > now - HISTORY_MS)
+    discardedRevision = history[history.length - kept.length - 1]?.revision ?? discardedRevision
+    history = kept
   }
 
   function write(key: string, value: Buffer): void {
@@ -90,13 +94,15 @@
     return {status: 200, body: {items: page, HasMore: page.length < keys.length, AsOf: revision}}
   }
 
-  async function watch(query: URLSearchParams): Promise<Reply> {
+  /** A watch that waits is cut when an outage begins. */
+  async function watch(query: URLSearchParams): Promise<Reply | "none"> {
     const prefix = query.get("Prefix") ?? ""
     const after = Number(query.get("After"))
     const until = performance.now() + Number(query.get("WaitMs"))
+    if (after < discardedRevision) return {status: 410}
     for (;;) {
       const events = history.filter(change => change.revision > after && change.key.startsWith(prefix))
-      if (events.length > 0 || performance.now() >= until || outage !== "none")
+      if (events.length > 0 || performance.now() >= until)
         return {
           status: 200,
           body: {
@@ -107,6 +113,8 @@
           },
         }
       await pause(WATCH_POLL_MS)
+      if (outage === "busy") return {status: 503}
+      if (outage === "silent") return "none"
     }
   }
 
--- a/review/standins-2/worker.ts
+++ b/review/standins-2/worker.ts
@@ -35,6 +35,8 @@
   /** How long a task with this text works, in milliseconds. */
   readonly durationOf: (spec: string) => number
   readonly onEvent: (event: WorkerEvent) => void
+  /** Called when the lease has lapsed, whether anything runs or not. */
+  readonly onLapse?: (worker: string, at: number) => void
   /** Writes the worker's entry to the store. */
   readonly register: (id: string, entry: Body) => void
 }
@@ -72,6 +74,8 @@
   let lastEnd = 0
   let highestToken = options.seenToken
   let leaseEndsAt = 0
+  /** True before the first lease too. */
+  let hasLapsed = true
   let mostUnnoted = 0
   let isClosed = false
 
@@ -98,6 +102,8 @@
 
   function tick(): void {
     const time = now()
+    if (time > leaseEndsAt && !hasLapsed) options.onLapse?.(id, performance.now())
+    hasLapsed = time > leaseEndsAt
     for (const run of [...runs.values()]) {
       if (time > leaseEndsAt) endRun(run, "lapsed")
       else if (time >= run.stopsAt) endRun(run, "stopped")
@@ -106,6 +112,8 @@
   }
 
   function extendLease(deadline: unknown): void {
+    // A lease may have lapsed since the last tick.
+    tick()
     if (typeof deadline === "number")
       leaseEndsAt = Math.max(leaseEndsAt, Math.min(deadline, now() + MAX_LEASE_MS))
   }
