One entry or value that is too large keeps no other write from being stored

Cause: an entry of a service that no configuration names became a worker, with its label of 600 KB twice in the roster. The roster was one value for all workers and outgrew what the store takes. The ledger put it into each transaction again, and with it failed new jobs, progress and the term.

Change: a listed worker is used only while the configuration names its service or an accepted job needs it; others are kept aside until then (worker-ignored). An entry from which more than 8 KB would be stored names no worker. The roster is stored in parts of 100 workers, so that a large fleet does not outgrow it either. A transaction that the store rejects is told from one without an answer; its writes are tried one at a time (write-rejected), and transactions share at most 256 KB of values.

Ruled out: a check of the length alone, since the roster of 28,000 workers is too long with short entries as well.

--- a/src/pipelines/ports.ts
+++ b/src/pipelines/ports.ts
@@ -34,6 +34,8 @@
   | {readonly type: "committed"; readonly revision: number}
   /** A condition does not hold. `items` has the present state of the keys in the conditions, without absent keys. */
   | {readonly type: "conflict"; readonly items: readonly StoredItem[]}
+  /** The store does not take such a transaction, for example because a value is too long. Nothing was written. */
+  | {readonly type: "rejected"; readonly reason: string}
 
 /** A change of one key; the value is undefined when the key was removed. */
 export interface KeyChange {
--- a/src/planner/earlierleaders.ts
+++ b/src/planner/earlierleaders.ts
@@ -62,7 +62,7 @@
 export function findEarlierLeaders({leader, roster, term: record}: StoredWork): EarlierLeaders {
   const former = leader?.former
   // Workers that nobody can have recorded show that the leader key was lost.
-  if (former?.term === 0 && roster.length > 0) return undefined
+  if (former?.term === 0 && roster.some(({workers}) => workers.length > 0)) return undefined
   const leaders = listLeadersBefore(
     former && record?.term === former.term
       ? {...former, earlierLeaders: record.earlierLeaders ?? former.earlierLeaders}
--- a/src/planner/intake.ts
+++ b/src/planner/intake.ts
@@ -139,6 +139,13 @@
       removals: [],
     })
     if (result.isErr()) return result.error.certainty === "not-run" ? "not-stored" : "unknown"
+    if (result.value.type === "rejected") {
+      log.error(
+        {event: "job-rejected", job: job.id, reason: result.value.reason},
+        "the store does not take the record of a job",
+      )
+      return "not-stored"
+    }
     log.info({event: "stored-directly", job: job.id}, "a job was stored without the leader")
     if (result.value.type === "committed") notifyLeader(record)
     return "stored"
@@ -237,7 +244,7 @@
       writes: [{key: cancelKey(job), value: ""}],
       removals: [],
     })
-    if (result.isErr()) return "unavailable"
+    if (result.isErr() || result.value.type === "rejected") return "unavailable"
     const revision =
       result.value.type === "committed"
         ? result.value.revision
--- a/src/planner/leadership.ts
+++ b/src/planner/leadership.ts
@@ -208,6 +208,13 @@
       becomeLeader(result.value.revision, sentAt)
       return
     }
+    if (result.value.type === "rejected") {
+      log.error(
+        {event: "claim-failed", reason: result.value.reason},
+        "the store does not take the leader key",
+      )
+      return
+    }
     const [item] = result.value.items
     if (!item) return
     applyLeaderItem(item, sentAt)
--- a/src/planner/ledger.ts
+++ b/src/planner/ledger.ts
@@ -1,6 +1,6 @@
 /**
  * The leader's writer to the store. All durable state is written here, batched so that one transaction holds many
- * entries. Each transaction is conditional on the leader key, so a leader that has been replaced writes nothing, and
+ * writes. Each transaction is conditional on the leader key, so a leader that has been replaced writes nothing, and
  * on the last known revision of each key that it writes, so a transaction that the store applies late never
  * overwrites a newer value.
  */
@@ -8,32 +8,11 @@
 import type {Logger} from "../core/logger.js"
 import type {PipelineJob} from "../pipelines/model.js"
 import type {Progress} from "../pipelines/progress.js"
-import type {KeyCondition, KeyValueStore, StoredItem, Transaction} from "../pipelines/ports.js"
-import {
-  cancelKey,
-  formatJob,
-  formatProgress,
-  jobKey,
-  LEADER_KEY,
-  progressKey,
-  ROSTER_KEY,
-  TERM_KEY,
-} from "./records.js"
+import type {KeyValueStore, StoredItem} from "../pipelines/ports.js"
+import type {LedgerWrite, PendingWrite} from "./ledgerbatch.js"
+import {chooseWrites, REJECTED_RETRY_MS} from "./ledgerbatch.js"
+import {cancelKey, formatJob, formatProgress, jobKey, LEADER_KEY, progressKey} from "./records.js"
 
-/** The store rejects larger transactions. An entry is a condition, a write or a removal. */
-const MAX_TRANSACTION_ENTRIES = 32
-/** The condition on the leader key, part of every transaction. */
-const LEADER_CONDITION_ENTRIES = 1
-/** Two conditions and one write. */
-const NEW_JOB_ENTRIES = 3
-/** One condition, one write, and the removal of the job record once the job has ended. */
-const PROGRESS_ENTRIES = 3
-/** One condition and one write. */
-const ROSTER_ENTRIES = 2
-/** One condition and one write. */
-const TERM_ENTRIES = 2
-/** Removal of the progress record and of a cancel request that may be left in the store. */
-const REMOVE_JOB_ENTRIES = 2
 /** Pause after a failed commit, so that retries do not overload a store that is down. */
 const RETRY_MS: Milliseconds = 120
 /** A submission is answered with `not-stored` once every attempt within this time was refused. */
@@ -61,13 +40,10 @@
   readonly writeProgress: (job: string, progress: Progress) => Promise<void>
   /** Resolves when the latest progress of a job is stored; undefined if nothing is pending. */
   readonly whenStored: (job: string) => Promise<void> | undefined
-  /** Sets the revision of a progress key that was read from the store. */
-  readonly setProgressRevision: (job: string, revision: number) => void
-  readonly writeRoster: (text: string) => Promise<void>
-  readonly setRosterRevision: (revision: number) => void
-  /** Writes the record of the term, and calls back when it is stored and no other one has been given since. */
-  readonly writeTerm: (text: string, onStored: () => void) => void
-  readonly setTermRevision: (revision: number) => void
+  /** Sets the revision of a key that was read from the store. */
+  readonly setRevision: (key: string, revision: number) => void
+  /** Writes a record of the leader, and calls back when it is stored and no other text has been given since. */
+  readonly writeRecord: (key: string, text: string, onStored: () => void) => void
   /** Removes the progress record of an ended job. */
   readonly removeEndedJob: (job: string) => void
   /** When the latest commit was sent that the store answered with this instance as the leader; -Infinity before. */
@@ -101,36 +77,25 @@
   readonly waiters: {readonly version: number; readonly resolve: () => void}[]
 }
 
-interface PendingTerm {
+interface PendingRecord {
   readonly text: string
   readonly onStored: () => void
 }
 
-interface Batch {
-  readonly transaction: Transaction
-  readonly newJobs: readonly NewJob[]
-  readonly progress: readonly {readonly job: string; readonly version: number; readonly ended: boolean}[]
-  readonly rosterVersion: number | undefined
-  readonly term: PendingTerm | undefined
-  readonly removedJobs: readonly string[]
-}
-
 /** Creates the writer of the leader of one term. */
 export function createLedger(ports: LedgerPorts): Ledger {
   const {store, term, clock, log, isStoreFailing, onSuperseded} = ports
+  const records = new Map<string, PendingRecord>()
   const newJobs = new Map<string, NewJob>()
   const pendingProgress = new Map<string, PendingProgress>()
-  const revisions = new Map<string, number>()
   const jobsToRemove = new Set<string>()
-  let roster: {text: string; version: number; resolve: (() => void)[]} | undefined
-  let rosterRevision = 0
-  let termRecord: PendingTerm | undefined
-  let termRevision = 0
-  let isTermInFlight = false
+  /** The last known revisions of the keys of progress and records. */
+  const revisions = new Map<string, number>()
   let lastVersion = 0
-  /** Jobs with a key in a transaction that the store has not answered yet. */
-  const jobsInFlight = new Set<string>()
-  let isRosterInFlight = false
+  /** What the transactions write that the store has not answered yet. */
+  const subjectsInFlight = new Set<string>()
+  /** What is written by itself since the store rejected it together with others, and from when on. */
+  const isolated = new Map<string, Milliseconds>()
   let openTransactions = 0
   let lastBegunAt = 0
   /** Pauses after failed transactions that are not over yet. */
@@ -139,66 +104,91 @@
   let lastConfirmedAt = -Infinity
   let commitCount = 0
 
-  function buildBatch(): Batch {
-    const conditions: KeyCondition[] = [{key: LEADER_KEY, revision: term}]
-    const writes: {key: string; value: string}[] = []
-    const removals: string[] = []
-    const takenJobs: NewJob[] = []
-    const takenProgress: {job: string; version: number; ended: boolean}[] = []
-    const takenRemovals: string[] = []
-    let freeEntries = MAX_TRANSACTION_ENTRIES - LEADER_CONDITION_ENTRIES
-    if (roster && !isRosterInFlight) {
-      conditions.push({key: ROSTER_KEY, revision: rosterRevision})
-      writes.push({key: ROSTER_KEY, value: roster.text})
-      freeEntries -= ROSTER_ENTRIES
-    }
-    const takenTerm = isTermInFlight ? undefined : termRecord
-    if (takenTerm) {
-      conditions.push({key: TERM_KEY, revision: termRevision})
-      writes.push({key: TERM_KEY, value: takenTerm.text})
-      freeEntries -= TERM_ENTRIES
-    }
-    for (const entry of newJobs.values()) {
-      if (freeEntries < NEW_JOB_ENTRIES) break
-      const {job} = entry
-      if (jobsInFlight.has(job.id)) continue
-      conditions.push({key: jobKey(job.id), revision: 0}, {key: progressKey(job.id), revision: 0})
-      writes.push({key: jobKey(job.id), value: formatJob(job)})
-      takenJobs.push(entry)
-      freeEntries -= NEW_JOB_ENTRIES
+  function prepareRecord(key: string, record: PendingRecord): LedgerWrite {
+    return {
+      subject: key,
+      transaction: {
+        conditions: [{key, revision: revisions.get(key) ?? 0}],
+        writes: [{key, value: record.text}],
+        removals: [],
+      },
+      onCommitted(revision) {
+        revisions.set(key, revision)
+        if (records.get(key) !== record) return
+        records.delete(key)
+        record.onStored()
+      },
+      onConflict: actual => void revisions.set(key, actual.get(key) ?? 0),
     }
-    for (const [job, pending] of pendingProgress) {
-      if (freeEntries < PROGRESS_ENTRIES) break
-      if (jobsInFlight.has(job)) continue
-      const ended = pending.progress.outcome !== undefined
-      conditions.push({key: progressKey(job), revision: revisions.get(job) ?? 0})
-      writes.push({
-        key: progressKey(job),
-        value: formatProgress({...pending.progress, writtenAt: clock.wallClock()}),
-      })
-      if (ended) removals.push(jobKey(job))
-      takenProgress.push({job, version: pending.version, ended})
-      freeEntries -= PROGRESS_ENTRIES
+  }
+
+  function prepareNewJob(entry: NewJob): LedgerWrite {
+    const {id} = entry.job
+    return {
+      subject: id,
+      transaction: {
+        conditions: [
+          {key: jobKey(id), revision: 0},
+          {key: progressKey(id), revision: 0},
+        ],
+        writes: [{key: jobKey(id), value: formatJob(entry.job)}],
+        removals: [],
+      },
+      onCommitted: () => settleJob(entry, "stored"),
+      onConflict(actual) {
+        if (actual.has(jobKey(id)) || actual.has(progressKey(id))) settleJob(entry, "exists")
+      },
+      onFailed(certainty) {
+        if (certainty === "unknown") entry.maybeWritten = true
+      },
+      onRejected: () => settleJob(entry, entry.maybeWritten ? "unknown" : "not-stored"),
     }
-    for (const job of jobsToRemove) {
-      if (freeEntries < REMOVE_JOB_ENTRIES) break
-      if (jobsInFlight.has(job)) continue
-      removals.push(progressKey(job), cancelKey(job))
-      takenRemovals.push(job)
-      freeEntries -= REMOVE_JOB_ENTRIES
+  }
+
+  function prepareProgress(job: string, {progress, version}: PendingProgress): LedgerWrite {
+    const key = progressKey(job)
+    return {
+      subject: job,
+      transaction: {
+        conditions: [{key, revision: revisions.get(key) ?? 0}],
+        writes: [{key, value: formatProgress({...progress, writtenAt: clock.wallClock()})}],
+        removals: progress.outcome === undefined ? [] : [jobKey(job)],
+      },
+      onCommitted(revision) {
+        revisions.set(key, revision)
+        resolveProgress(job, version)
+      },
+      onConflict: actual => void revisions.set(key, actual.get(key) ?? 0),
     }
+  }
+
+  function prepareRemoval(job: string): LedgerWrite {
     return {
-      transaction: {conditions, writes, removals},
-      newJobs: takenJobs,
-      progress: takenProgress,
-      rosterVersion: isRosterInFlight ? undefined : roster?.version,
-      term: takenTerm,
-      removedJobs: takenRemovals,
+      subject: job,
+      transaction: {conditions: [], writes: [], removals: [progressKey(job), cancelKey(job)]},
+      onCommitted() {
+        jobsToRemove.delete(job)
+        revisions.delete(progressKey(job))
+      },
+      onConflict: () => undefined,
     }
   }
 
+  /** Lists what is not in flight: first the few records that starts wait for, then new jobs, which callers wait for. */
+  function* listPending(): Generator<PendingWrite> {
+    const isIdle = (subject: string): boolean => !subjectsInFlight.has(subject)
+    for (const [key, record] of records)
+      if (isIdle(key)) yield {subject: key, prepare: () => prepareRecord(key, record)}
+    for (const [job, entry] of newJobs)
+      if (isIdle(job)) yield {subject: job, prepare: () => prepareNewJob(entry)}
+    for (const [job, entry] of pendingProgress)
+      if (isIdle(job)) yield {subject: job, prepare: () => prepareProgress(job, entry)}
+    for (const job of jobsToRemove) if (isIdle(job)) yield {subject: job, prepare: () => prepareRemoval(job)}
+  }
+
   function settleJob(entry: NewJob, outcome: StoredOutcome): void {
     newJobs.delete(entry.job.id)
+    isolated.delete(entry.job.id)
     for (const settle of entry.resolvers) settle(outcome)
   }
 
@@ -216,38 +206,23 @@
     lastConfirmedAt = Math.max(lastConfirmedAt, sentAt)
   }
 
-  function handleCommitted(batch: Batch, revision: number, sentAt: Milliseconds): void {
+  function handleCommitted(writes: readonly LedgerWrite[], revision: number, sentAt: Milliseconds): void {
     confirm(sentAt)
     commitCount += 1
-    for (const entry of batch.newJobs) settleJob(entry, "stored")
-    for (const {job, version} of batch.progress) {
-      revisions.set(job, revision)
-      resolveProgress(job, version)
-    }
-    for (const job of batch.removedJobs) {
-      jobsToRemove.delete(job)
-      revisions.delete(job)
-    }
-    if (batch.term) {
-      termRevision = revision
-      if (termRecord === batch.term) {
-        termRecord = undefined
-        batch.term.onStored()
-      }
-    }
-    if (batch.rosterVersion !== undefined) {
-      rosterRevision = revision
-      if (roster?.version === batch.rosterVersion) {
-        for (const resolve of roster.resolve) resolve()
-        roster = undefined
-      }
+    for (const {subject, onCommitted} of writes) {
+      isolated.delete(subject)
+      onCommitted(revision)
     }
   }
 
   /**
    * Takes the current revisions from the store's answer. They may stem from an earlier attempt whose reply was lost.
    */
-  function handleConflict(batch: Batch, items: readonly StoredItem[], sentAt: Milliseconds): void {
+  function handleConflict(
+    writes: readonly LedgerWrite[],
+    items: readonly StoredItem[],
+    sentAt: Milliseconds,
+  ): void {
     const actual = new Map(items.map(item => [item.key, item.revision]))
     if ((actual.get(LEADER_KEY) ?? 0) !== term) {
       isClosed = true
@@ -256,17 +231,11 @@
       return
     }
     confirm(sentAt)
-    for (const entry of batch.newJobs) {
-      const {id} = entry.job
-      if (actual.has(jobKey(id)) || actual.has(progressKey(id))) settleJob(entry, "exists")
-    }
-    for (const {job} of batch.progress) revisions.set(job, actual.get(progressKey(job)) ?? 0)
-    if (batch.term) termRevision = actual.get(TERM_KEY) ?? 0
-    if (batch.rosterVersion !== undefined) rosterRevision = actual.get(ROSTER_KEY) ?? 0
+    for (const {onConflict} of writes) onConflict(actual)
   }
 
-  function handleFailure(batch: Batch, certainty: "not-run" | "unknown"): void {
-    for (const entry of batch.newJobs) if (certainty === "unknown") entry.maybeWritten = true
+  function handleFailure(writes: readonly LedgerWrite[], certainty: "not-run" | "unknown"): void {
+    for (const {onFailed} of writes) onFailed?.(certainty)
     refuseOverdueJobs()
     openPauses += 1
     // Timers may fire a fraction of a millisecond early by the clock, so the end of the pause is not found by the clock.
@@ -276,6 +245,23 @@
     })
   }
 
+  /** Sending the same transaction again would be in vain, so its writes are tried one at a time. */
+  function handleRejection(writes: readonly LedgerWrite[], reason: string): void {
+    const subjects = writes.map(({subject}) => subject)
+    log.error(
+      {event: "write-rejected", subjects, reason},
+      "the store does not take a transaction of the leader",
+    )
+    const isAlone = writes.length === 1
+    const retryAt = isAlone ? clock.now() + REJECTED_RETRY_MS : -Infinity
+    for (const {subject, onRejected} of writes) {
+      isolated.set(subject, retryAt)
+      if (isAlone) onRejected?.()
+    }
+    // Timers may fire a fraction of a millisecond early by the clock.
+    if (isAlone) clock.after(REJECTED_RETRY_MS + 1, commitNext)
+  }
+
   /**
    * Answers submissions that have waited too long: `not-stored` if certainly nothing was written, `unknown`
    * otherwise.
@@ -283,44 +269,33 @@
   function refuseOverdueJobs(): void {
     for (const entry of [...newJobs.values()]) {
       const age = clock.now() - entry.submittedAt
-      if (!entry.maybeWritten && !jobsInFlight.has(entry.job.id) && age > SUBMIT_REFUSE_AFTER_MS)
+      if (!entry.maybeWritten && !subjectsInFlight.has(entry.job.id) && age > SUBMIT_REFUSE_AFTER_MS)
         settleJob(entry, "not-stored")
       else if (age > SUBMIT_UNKNOWN_AFTER_MS) settleJob(entry, "unknown")
     }
   }
 
-  function isEmpty(batch: Batch): boolean {
-    return batch.transaction.writes.length === 0 && batch.transaction.removals.length === 0
-  }
-
-  function jobsOf(batch: Batch): readonly string[] {
-    return [
-      ...batch.newJobs.map(({job}) => job.id),
-      ...batch.progress.map(({job}) => job),
-      ...batch.removedJobs,
-    ]
-  }
-
-  async function commit(batch: Batch): Promise<void> {
+  async function commit(writes: readonly LedgerWrite[]): Promise<void> {
     openTransactions += 1
     const sentAt = clock.now()
     lastBegunAt = sentAt
-    const jobs = jobsOf(batch)
-    for (const job of jobs) jobsInFlight.add(job)
-    if (batch.rosterVersion !== undefined) isRosterInFlight = true
-    if (batch.term) isTermInFlight = true
+    for (const {subject} of writes) subjectsInFlight.add(subject)
     clock.after(PARALLEL_AFTER_MS, commitNext)
-    const result = await store.commit(batch.transaction)
+    const parts = writes.map(({transaction}) => transaction)
+    const result = await store.commit({
+      conditions: [{key: LEADER_KEY, revision: term}, ...parts.flatMap(({conditions}) => conditions)],
+      writes: parts.flatMap(part => part.writes),
+      removals: parts.flatMap(({removals}) => removals),
+    })
     openTransactions -= 1
-    for (const job of jobs) jobsInFlight.delete(job)
-    if (batch.rosterVersion !== undefined) isRosterInFlight = false
-    if (batch.term) isTermInFlight = false
+    for (const {subject} of writes) subjectsInFlight.delete(subject)
     if (isClosed) return
     if (result.isErr()) {
-      handleFailure(batch, result.error.certainty)
+      handleFailure(writes, result.error.certainty)
       log.debug({event: "commit-failed", reason: result.error.message}, "a commit to the store failed")
-    } else if (result.value.type === "committed") handleCommitted(batch, result.value.revision, sentAt)
-    else handleConflict(batch, result.value.items, sentAt)
+    } else if (result.value.type === "committed") handleCommitted(writes, result.value.revision, sentAt)
+    else if (result.value.type === "conflict") handleConflict(writes, result.value.items, sentAt)
+    else handleRejection(writes, result.value.reason)
     commitNext()
   }
 
@@ -329,8 +304,8 @@
     const now = clock.now()
     if (isClosed || openPauses > 0 || openTransactions >= MAX_PARALLEL_TRANSACTIONS) return
     if (openTransactions > 0 && now - lastBegunAt < PARALLEL_AFTER_MS) return
-    const batch = buildBatch()
-    if (!isEmpty(batch)) void commit(batch)
+    const writes = chooseWrites(listPending, isolated, now)
+    if (writes.length > 0) void commit(writes)
   }
 
   return {
@@ -362,24 +337,11 @@
       if (!pending) return undefined
       return new Promise(resolve => pending.waiters.push({version: pending.version, resolve}))
     },
-    setProgressRevision: (job, revision) => void revisions.set(job, revision),
-    writeRoster(text) {
-      return new Promise(resolve => {
-        lastVersion += 1
-        roster = {text, version: lastVersion, resolve: [...(roster?.resolve ?? []), resolve]}
-        commitNext()
-      })
-    },
-    setRosterRevision(revision) {
-      rosterRevision = revision
-    },
-    writeTerm(text, onStored) {
-      termRecord = {text, onStored}
+    setRevision: (key, revision) => void revisions.set(key, revision),
+    writeRecord(key, text, onStored) {
+      records.set(key, {text, onStored})
       commitNext()
     },
-    setTermRevision(revision) {
-      termRevision = revision
-    },
     removeEndedJob(job) {
       jobsToRemove.add(job)
       commitNext()
@@ -390,7 +352,7 @@
       isClosed = true
       for (const entry of [...newJobs.values()]) {
         // An open transaction may still be applied.
-        const maybeWritten = entry.maybeWritten || jobsInFlight.has(entry.job.id)
+        const maybeWritten = entry.maybeWritten || subjectsInFlight.has(entry.job.id)
         settleJob(entry, maybeWritten ? "unknown" : "not-stored")
       }
     },
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -31,7 +31,16 @@
 import {createStarter} from "./starting.js"
 import {createQueueServices} from "./queueservices.js"
 import {readStoredWork} from "./storedwork.js"
-import {formatTerm, LEADER_KEY, parseKey, parseJob, STORE_PREFIX} from "./records.js"
+import {
+  formatTerm,
+  LEADER_KEY,
+  parseKey,
+  parseJob,
+  progressKey,
+  rosterKey,
+  STORE_PREFIX,
+  TERM_KEY,
+} from "./records.js"
 import {createReportReader} from "./reports.js"
 import type {WorkRead} from "./reports.js"
 import type {ActiveJob, Assignment} from "./state.js"
@@ -195,6 +204,7 @@
     onForgotten: relays.forget,
     mayRunInherited: barrier.has,
     confirmation,
+    isServiceUsed,
     open: worker =>
       openWorkerLink(worker, {
         term,
@@ -226,6 +236,14 @@
     },
   })
 
+  /** A job may outlast its queue and the service that it was accepted for. */
+  function isServiceUsed(name: string): boolean {
+    const {services = [], queues = []} = configuration() ?? {}
+    if (services.some(service => service.name === name)) return true
+    if (queues.some(({service}) => service === name)) return true
+    return [...jobs.active.values()].some(({job}) => queueServices.listUsed(job).includes(name))
+  }
+
   /** Jobs of other queues cannot be accepted any more. */
   function isQueueKept(name: string): boolean {
     if (!configuration() || findQueue(name)) return true
@@ -237,7 +255,7 @@
     followers.beginRecording(names)
     const usedServices = queueServices.beginRecording(isQueueKept)
     const earlierLeaders = barrier.earlierLeaders()
-    ledger.writeTerm(formatTerm({term, earlierLeaders, followers: names, usedServices}), () => {
+    ledger.writeRecord(TERM_KEY, formatTerm({term, earlierLeaders, followers: names, usedServices}), () => {
       followers.confirmRecording()
       queueServices.confirmRecording()
       schedulePass()
@@ -348,6 +366,7 @@
     if (isClosed) return
     leaderLoad.recordTimerDelay(clock.now() - dueAt)
     relays.check()
+    pool.addOfUsedServices()
     leaderLoad.summarize(describeBacklog)
     releaseExpired()
     const names = followers.namesToRecord()
@@ -407,15 +426,15 @@
   function applyInitialWork(items: readonly StoredItem[]): void {
     const work = readStoredWork(items)
     for (const {job, revision, record} of work.progress.values()) {
-      ledger.setProgressRevision(job, revision)
+      ledger.setRevision(progressKey(job), revision)
       if (record?.outcome) jobs.addEnded(job, record.outcome, record.writtenAt)
     }
     for (const job of work.jobs) {
       const record = work.progress.get(job.id)?.record
       if (!record?.outcome) addJob(job, record ?? INITIAL_PROGRESS, true)
     }
-    ledger.setRosterRevision(work.rosterRevision)
-    ledger.setTermRevision(work.termRevision)
+    for (const {part, revision} of work.roster) ledger.setRevision(rosterKey(part), revision)
+    ledger.setRevision(TERM_KEY, work.termRevision)
     pool.addFromRoster(work.roster)
     barrier.setEarlierLeaders(findEarlierLeaders(work))
     queueServices.addRecorded(work.term?.usedServices ?? {})
--- a/src/planner/records.ts
+++ b/src/planner/records.ts
@@ -6,7 +6,7 @@
 
 export const STORE_PREFIX = "lacewing/"
 export const LEADER_KEY = `${STORE_PREFIX}leader`
-export const ROSTER_KEY = `${STORE_PREFIX}roster`
+const ROSTER_KEY = `${STORE_PREFIX}roster`
 export const TERM_KEY = `${STORE_PREFIX}term`
 /** Jobs, their progress and cancel requests. The leader watches this prefix for changes by other instances. */
 export const WORK_PREFIX = `${STORE_PREFIX}work/`
@@ -14,6 +14,18 @@
 const PROGRESS_PREFIX = `${WORK_PREFIX}progress/`
 const CANCEL_PREFIX = `${WORK_PREFIX}cancel/`
 
+/** The roster is stored in parts. The first one has the key under which earlier versions stored all of it. */
+export function rosterKey(part: number): string {
+  return part === 0 ? ROSTER_KEY : `${ROSTER_KEY}/${part}`
+}
+
+/** Parses the key of a part of the roster; undefined for any other key. */
+export function parseRosterKey(key: string): number | undefined {
+  if (key === ROSTER_KEY) return 0
+  const part = key.startsWith(`${ROSTER_KEY}/`) ? Number(key.slice(ROSTER_KEY.length + 1)) : NaN
+  return Number.isInteger(part) && part > 0 ? part : undefined
+}
+
 export function jobKey(job: string): string {
   return `${JOB_PREFIX}${job}`
 }
--- a/src/planner/storedwork.ts
+++ b/src/planner/storedwork.ts
@@ -8,8 +8,8 @@
   parseLeader,
   parseProgress,
   parseRoster,
+  parseRosterKey,
   parseTerm,
-  ROSTER_KEY,
   TERM_KEY,
 } from "./records.js"
 import type {LeaderRecord, ProgressRecord, TermRecord} from "./records.js"
@@ -21,6 +21,13 @@
   readonly record: ProgressRecord | undefined
 }
 
+/** A part of the roster: some of the workers that the leader has recorded. */
+export interface RosterPart {
+  readonly part: number
+  readonly revision: number
+  readonly workers: readonly WorkerListing[]
+}
+
 export interface StoredWork {
   readonly jobs: readonly PipelineJob[]
   readonly progress: ReadonlyMap<string, StoredProgress>
@@ -28,9 +35,7 @@
   readonly cancelledJobs: readonly string[]
   /** The claim of the present leader; undefined if it is unreadable. */
   readonly leader: LeaderRecord | undefined
-  /** The workers that the leader has recorded. */
-  readonly roster: readonly WorkerListing[]
-  readonly rosterRevision: number
+  readonly roster: readonly RosterPart[]
   /** The record of the latest leader that wrote one. */
   readonly term: TermRecord | undefined
   readonly termRevision: number
@@ -41,7 +46,10 @@
   const jobs: PipelineJob[] = []
   const progress = new Map<string, StoredProgress>()
   const cancelledJobs: string[] = []
+  const roster: RosterPart[] = []
   for (const {key, value, revision} of items) {
+    const part = parseRosterKey(key)
+    if (part !== undefined) roster.push({part, revision, workers: parseRoster(value)})
     const parsedKey = parseKey(key)
     if (!parsedKey) continue
     if (parsedKey.type === "progress")
@@ -54,14 +62,12 @@
   }
   const leader = items.find(({key}) => key === LEADER_KEY)
   const term = items.find(({key}) => key === TERM_KEY)
-  const roster = items.find(({key}) => key === ROSTER_KEY)
   return {
     jobs,
     progress,
     cancelledJobs,
     leader: leader && parseLeader(leader.value),
-    roster: roster ? parseRoster(roster.value) : [],
-    rosterRevision: roster?.revision ?? 0,
+    roster,
     term: term && parseTerm(term.value),
     termRevision: term?.revision ?? 0,
   }
--- a/src/planner/workerpool.ts
+++ b/src/planner/workerpool.ts
@@ -1,6 +1,7 @@
 /**
  * The leader's workers, with a link to each: those that the platform lists, and those in the roster that an earlier
- * leader wrote to the store.
+ * leader wrote to the store. Other systems may list workers too, so those of a service that nothing here uses are left
+ * alone until something does.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
@@ -8,9 +9,10 @@
 import type {FleetReader, KeyChange, StoredItem} from "../pipelines/ports.js"
 import type {Confirmation} from "./confirmation.js"
 import type {Ledger} from "./ledger.js"
-import {formatRoster} from "./records.js"
+import {createRoster} from "./roster.js"
 import type {WorkerState} from "./state.js"
 import {boundWorkerClock, createWorker, release} from "./state.js"
+import type {RosterPart} from "./storedwork.js"
 import type {WorkerLink} from "./workerlink.js"
 
 /** How long an unlisted worker without assignments is kept, in case its entry comes back. */
@@ -20,13 +22,15 @@
   readonly workers: ReadonlyMap<string, WorkerState>
   readonly linkOf: (worker: WorkerState) => WorkerLink | undefined
   /** Adds the workers of an earlier leader's roster. */
-  readonly addFromRoster: (roster: readonly WorkerListing[]) => void
+  readonly addFromRoster: (roster: readonly RosterPart[]) => void
   /** Handles the complete list of worker entries. */
   readonly onList: (items: readonly StoredItem[]) => void
   /** Handles changed worker entries. */
   readonly onChanges: (changes: readonly KeyChange[]) => void
   /** Removes a worker because another one answers at its address. */
   readonly removeReplaced: (worker: WorkerState) => void
+  /** Adds listed workers whose service is used only now. */
+  readonly addOfUsedServices: () => void
   /** Releases the tasks of unreachable workers whose leases have expired for certain, and forgets workers that are gone. */
   readonly sweep: () => void
   readonly close: () => void
@@ -44,31 +48,30 @@
   /** True while the worker may run tasks that an earlier leader started, so that the roster has to name it. */
   readonly mayRunInherited: (worker: WorkerState) => boolean
   readonly confirmation: Confirmation
+  /** True if the configuration names the service or an accepted job needs it. */
+  readonly isServiceUsed: (service: string) => boolean
 }
 
 export function createWorkerPool(context: WorkerPoolContext): WorkerPool {
-  const {clock, log, ledger, reader, open, onChange, onForgotten, mayRunInherited, confirmation} = context
+  const {
+    clock,
+    log,
+    ledger,
+    reader,
+    open,
+    onChange,
+    onForgotten,
+    mayRunInherited,
+    confirmation,
+    isServiceUsed,
+  } = context
   const workers = new Map<string, WorkerState>()
   const links = new Map<WorkerState, WorkerLink>()
   /** The revisions of present entries that name no worker, by key. */
   const refusedEntries = new Map<string, number>()
-  let isWritingRoster = false
-  let hasRosterChanged = false
-
-  /** Writes the roster of all workers to the store. A worker is given tasks only once the roster names it. */
-  async function writeRoster(): Promise<void> {
-    hasRosterChanged = true
-    if (isWritingRoster) return
-    isWritingRoster = true
-    while (hasRosterChanged) {
-      hasRosterChanged = false
-      const recordedWorkers = [...workers.values()]
-      await ledger.writeRoster(formatRoster(recordedWorkers.map(worker => worker.listing)))
-      for (const worker of recordedWorkers) worker.isRecorded = true
-    }
-    isWritingRoster = false
-    onChange()
-  }
+  /** Listed workers of services that are not used, by name. */
+  const unusedListings = new Map<string, WorkerListing>()
+  const roster = createRoster(ledger, onChange)
 
   function add(listing: WorkerListing, isListed: boolean): WorkerState {
     const worker = createWorker(listing, isListed, clock.now())
@@ -83,30 +86,45 @@
     links.delete(worker)
     onForgotten(worker.listing.id)
     if (workers.get(worker.listing.id) === worker) workers.delete(worker.listing.id)
-    // The roster is written anew, so that a later leader does not wait for this worker.
-    void writeRoster()
+    // A later leader does not wait for a worker that the roster does not name.
+    roster.remove(worker)
+    roster.write()
     onChange()
   }
 
-  /** Adds or updates a listed worker. True when it is new or has a new address, so that the roster has to be written. */
-  function applyListing(listing: WorkerListing): boolean {
+  function addListed(listing: WorkerListing): void {
+    unusedListings.delete(listing.id)
+    roster.add(add(listing, true))
+  }
+
+  /** Adds or updates a listed worker, and marks it for the roster if it is new or has a new address. */
+  function applyListing(listing: WorkerListing): void {
     const known = workers.get(listing.id)
     if (!known) {
-      add(listing, true)
-      return true
+      if (isServiceUsed(listing.service)) addListed(listing)
+      else ignoreListing(listing)
+      return
     }
     if (listing.leaving && !known.listing.leaving)
       log.info({event: "worker-leaving", worker: listing.id}, "worker is leaving and gets no new tasks")
     // After a restart under the same name, an entry of the previous incarnation may still arrive. What the worker
     // itself reports counts more than a later birth that somebody else has written into its entry.
-    if (listing.bornAt < known.listing.bornAt && listing.bornAt !== known.incarnation) return false
+    if (listing.bornAt < known.listing.bornAt && listing.bornAt !== known.incarnation) return
     const hasMoved = listing.address !== known.listing.address
     known.listing = listing
     known.isListed = true
-    return hasMoved
+    if (hasMoved) roster.add(known)
+  }
+
+  function ignoreListing(listing: WorkerListing): void {
+    const {id: worker, service} = listing
+    if (unusedListings.get(worker)?.service !== service)
+      log.info({event: "worker-ignored", worker, service}, "nothing here uses the service of a listed worker")
+    unusedListings.set(worker, listing)
   }
 
   function unlist(id: string): void {
+    unusedListings.delete(id)
     const worker = workers.get(id)
     if (!worker?.isListed) return
     worker.isListed = false
@@ -128,11 +146,15 @@
     )
   }
 
-  function applyItem({key, value, revision}: StoredItem): boolean {
+  function applyItem({key, value, revision}: StoredItem): void {
     const listing = reader.decodeWorker(key, value)
-    if (listing) refusedEntries.delete(key)
-    else refuseEntry(key, revision)
-    return listing ? applyListing(listing) : false
+    if (!listing) {
+      unusedListings.delete(idOf(key))
+      refuseEntry(key, revision)
+      return
+    }
+    refusedEntries.delete(key)
+    applyListing(listing)
   }
 
   /** True when the worker's lease has expired by then even if its clock runs as slow as is allowed. */
@@ -155,31 +177,39 @@
   return {
     workers,
     linkOf: worker => links.get(worker),
-    addFromRoster(roster) {
-      for (const listing of roster) {
-        if (!workers.has(listing.id)) add(listing, false).isRecorded = true
-      }
+    addFromRoster(parts) {
+      for (const {part, workers: recorded} of parts)
+        for (const listing of recorded)
+          if (!workers.has(listing.id)) roster.addRecorded(add(listing, false), part)
     },
     onList(items) {
       const listed = new Set(items.map(item => idOf(item.key)))
-      let isRosterStale = false
-      for (const item of items) isRosterStale = applyItem(item) || isRosterStale
+      for (const item of items) applyItem(item)
       for (const key of refusedEntries.keys()) if (!listed.has(idOf(key))) refusedEntries.delete(key)
-      for (const id of workers.keys()) if (!listed.has(id)) unlist(id)
-      if (isRosterStale) void writeRoster()
+      for (const id of [...workers.keys(), ...unusedListings.keys()]) if (!listed.has(id)) unlist(id)
+      roster.write()
       onChange()
     },
     onChanges(changes) {
-      let isRosterStale = false
       for (const {key, value, revision} of changes) {
         if (value === undefined) {
           refusedEntries.delete(key)
           unlist(idOf(key))
-        } else isRosterStale = applyItem({key, value, revision}) || isRosterStale
+        } else applyItem({key, value, revision})
       }
-      if (isRosterStale) void writeRoster()
+      roster.write()
       onChange()
     },
+    addOfUsedServices() {
+      const services = new Set([...unusedListings.values()].map(({service}) => service))
+      for (const service of services) {
+        if (!isServiceUsed(service)) continue
+        for (const listing of [...unusedListings.values()])
+          if (listing.service === service) addListed(listing)
+        roster.write()
+        onChange()
+      }
+    },
     removeReplaced(worker) {
       log.warn(
         {event: "worker-replaced", worker: worker.listing.id},
--- a/src/platform/fleetreader.ts
+++ b/src/platform/fleetreader.ts
@@ -24,6 +24,11 @@
 const HIGHEST_PORT = 65_535
 /** Above the capacity of any machine, and low enough that sums over a fleet stay exact. */
 const MAX_AMOUNT = 1e9
+/**
+ * Limit on what is read from an entry, which takes a few hundred bytes for a worker. The leader stores it in its roster, of
+ * which each part has to be shorter than a value of the store may be.
+ */
+const MAX_LISTING_BYTES = 8192
 /** The year 2100, in milliseconds since the Unix epoch. */
 const LATEST_BIRTH = Date.UTC(2100)
 
@@ -64,7 +69,7 @@
   if (id === "" || (state !== "ready" && state !== "draining") || service === "") return undefined
   if (!isAddress(address) || !capacity || !isBirth(born)) return undefined
   if (!isString(zone) || !Array.isArray(labels) || !labels.every(isString)) return undefined
-  return {
+  const listing = {
     id,
     service,
     address,
@@ -75,6 +80,7 @@
     leaving: state === "draining",
     bornAt: born,
   }
+  return Buffer.byteLength(JSON.stringify(listing)) <= MAX_LISTING_BYTES ? listing : undefined
 }
 
 function readAdvice(value: unknown): AdviceTerms | undefined {
--- a/src/platform/kvstore.ts
+++ b/src/platform/kvstore.ts
@@ -34,10 +34,13 @@
 const WATCH_SLACK_MS: Milliseconds = 800
 
 const STATUS_OK = 200
+const STATUS_BAD_REQUEST = 400
 const STATUS_NOT_FOUND = 404
+const STATUS_REQUEST_TIMEOUT = 408
 const STATUS_GONE = 410
 const STATUS_PRECONDITION_FAILED = 412
 const STATUS_TOO_MANY_REQUESTS = 429
+const STATUS_INTERNAL_ERROR = 500
 const STATUS_UNAVAILABLE = 503
 
 function encodeBase64(value: string): string {
@@ -76,6 +79,12 @@
   return new StoreUnavailable(`status ${reply.status}`, refused ? "not-run" : "unknown")
 }
 
+/** True for a status that blames the request itself, so that sending it again would be answered in the same way. */
+function isRejection(status: number): boolean {
+  if (status === STATUS_REQUEST_TIMEOUT || status === STATUS_TOO_MANY_REQUESTS) return false
+  return status >= STATUS_BAD_REQUEST && status < STATUS_INTERNAL_ERROR
+}
+
 /** Creates a store client for the given address. */
 export function keyValueStore(
   client: Pick<JsonClient, "call">,
@@ -158,6 +167,7 @@
     const reply = await call("POST", "/api/kv-txn", body, callTimeout)
     if (reply.isErr()) return err(reply.error)
     if (reply.value.status === STATUS_PRECONDITION_FAILED) return ok(readConflict(reply.value.body))
+    if (isRejection(reply.value.status)) return ok({type: "rejected", reason: `status ${reply.value.status}`})
     if (reply.value.status !== STATUS_OK) return err(unexpectedStatus(reply.value))
     return ok({type: "committed", revision: asNumber(asObject(reply.value.body).Revision)})
   }
--- a/test/platform/calls.test.ts
+++ b/test/platform/calls.test.ts
@@ -166,6 +166,28 @@
   server.close()
 })
 
+test("a transaction that the store does not take is told from one that it could not answer", async t => {
+  const statuses = [400, 403, 413, 408, 429, 503, 500]
+  const server = await startScriptedServer(statuses.map(status => ({status})))
+  const client = jsonClient()
+  t.teardown(async () => {
+    server.close()
+    await client.close()
+  })
+  const store = keyValueStore(client, server.address)
+  const answers: string[] = []
+  for (const status of statuses) {
+    const answer = await store.commit({conditions: [], writes: [{key: "a", value: "b"}], removals: []})
+    answers.push(
+      `${status}: ${answer.match(
+        result => result.type,
+        failure => failure.certainty,
+      )}`,
+    )
+  }
+  t.snapshot(answers)
+})
+
 test("a list of the store resumes at the page that failed, with time enough for a slow link", async t => {
   const page = (key: string, more: boolean) => ({
     status: 200,
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -135,6 +135,16 @@
   t.is(FLEET_READER.decodeWorker("servers/i-7f", valid)?.address, ENTRY.Address)
 })
 
+// An entry of 600 KB made the roster longer than the store takes, and then no accepted job was started.
+test("an entry from which more would be stored than a worker takes names no worker", t => {
+  const read = (labels: readonly string[]) =>
+    FLEET_READER.decodeWorker("servers/i-7f", JSON.stringify({...ENTRY, Labels: labels}))
+  t.is(read(["a", "x".repeat(600_000)]), undefined)
+  t.is(read(Array.from({length: 3000}, (_, index) => `r${index}`)), undefined)
+  t.is(read(["a", "\u0001".repeat(1500)]), undefined, "a control character takes six bytes in the store")
+  t.is(read(["a", "x".repeat(300)])?.rack.length, 300)
+})
+
 test("input that is nested deeply, or has numbers out of range, is refused and never throws", t => {
   const nested = `${"[".repeat(100_000)}${"]".repeat(100_000)}`
   const deepStep = JSON.stringify(JOB).replace('"Cpu":500', `"Cpu":${nested}`)
--- a/test/soak/platformserver.ts
+++ b/test/soak/platformserver.ts
@@ -29,6 +29,7 @@
 const CONFLICT = 409
 const GONE = 410
 const CONDITION = 412
+const TOO_LARGE = 413
 const OTHER_WORKER = 421
 const UNAVAILABLE = 503
 
@@ -131,11 +132,12 @@
       writes: list(body.Writes).map(({Key, Value}) => ({key: String(Key), value: decode(Value)})),
       removals: list(body.Remove).map(String),
     })
-    return settle(committed, result =>
-      result.type === "committed"
+    return settle(committed, result => {
+      if (result.type === "rejected") return {status: TOO_LARGE}
+      return result.type === "committed"
         ? {status: OK, body: {Revision: result.revision}}
-        : {status: CONDITION, body: {items: result.items.map(item)}},
-    )
+        : {status: CONDITION, body: {items: result.items.map(item)}}
+    })
   })
 }
 
--- a/test/support/fakestore.ts
+++ b/test/support/fakestore.ts
@@ -41,10 +41,15 @@
   readonly compact: () => void
   /** Number of transactions that were committed. */
   readonly commitCount: () => number
+  /** Why transactions were rejected, which were too large. */
+  readonly rejections: () => readonly string[]
 }
 
 const ANSWER_DELAY_MS: Milliseconds = 4
 const TIMEOUT_MS: Milliseconds = 1200
+/** The limits of the platform's store. */
+const MAX_TRANSACTION_ENTRIES = 32
+const MAX_VALUE_BYTES = 2 ** 20
 const LATE_WRITE_DELAY_MS: Milliseconds = 3000
 
 export function fakeStore(clock: Clock): FakeStore {
@@ -53,6 +58,7 @@
   let revision = 1
   let oldestRevision = 1
   let commitCount = 0
+  const rejections: string[] = []
   let defaultMode: StoreMode = "up"
   let listsFail = false
   let listPages = {count: 1, delay: 0}
@@ -68,7 +74,20 @@
     history.push({key, value, revision})
   }
 
+  /** Why the platform's store takes no such transaction; undefined if it does. */
+  function findRejection({conditions, writes, removals}: Transaction): string | undefined {
+    const entries = conditions.length + writes.length + removals.length
+    if (entries > MAX_TRANSACTION_ENTRIES) return `${entries} entries`
+    const tooLong = writes.find(({value}) => Buffer.byteLength(value) > MAX_VALUE_BYTES)
+    return tooLong && `the value of ${tooLong.key} is too long`
+  }
+
   function apply(transaction: Transaction): TransactionResult {
+    const reason = findRejection(transaction)
+    if (reason !== undefined) {
+      rejections.push(reason)
+      return {type: "rejected", reason}
+    }
     const conditionsHold = transaction.conditions.every(
       ({key, revision: expected}) => (items.get(key)?.revision ?? 0) === expected,
     )
@@ -181,5 +200,6 @@
       revision += 1
     },
     commitCount: () => commitCount,
+    rejections: () => rejections,
   }
 }
