A job that was cancelled before it was stored is never stored

Cause: the cancelling looked into the leader's table and into the store. A submission that was still under way was in neither: waiting in the leader's ledger, at an instance that stores it directly, or in a write that the store carries out late. It was stored after the answer.

Change: before 410 is given, a record in the place of the job's progress is written on the condition that nothing is stored of the job. All writes of jobs carry the same condition, so that whichever comes later fails, whoever sends it. The record is removed like those of ended jobs, and the job counts as unknown. A leader that is storing a job waits for that before it cancels it. A job that is stored meanwhile is cancelled in the usual way.

Ruled out: telling the leader and the instances of the cancelling, since a write may already be on its way to the store.

--- a/src/planner/intake.ts
+++ b/src/planner/intake.ts
@@ -9,11 +9,19 @@
 import type {CancelAnswer, FleetClients, QueueLoad, StoreAnswer} from "../peer/fleet.js"
 import {estimateMemory} from "../pipelines/footprint.js"
 import type {PipelineJob} from "../pipelines/model.js"
-import type {KeyValueStore} from "../pipelines/ports.js"
+import type {KeyCondition, KeyValueStore} from "../pipelines/ports.js"
 import type {ShownState} from "./jobtable.js"
 import type {Leadership} from "./leadership.js"
 import type {Planner} from "./planner.js"
-import {cancelKey, formatJob, jobKey, LEADER_KEY, parseProgress, progressKey} from "./records.js"
+import {
+  cancelKey,
+  formatJob,
+  formatWithdrawal,
+  jobKey,
+  LEADER_KEY,
+  parseProgress,
+  progressKey,
+} from "./records.js"
 
 export type SubmitAnswer =
   | {readonly type: "stored"}
@@ -77,6 +85,14 @@
 /** Timeout of the notification that tells the leader about a job or a cancellation that is already stored. */
 const NOTIFY_TIMEOUT_MS: Milliseconds = 1000
 
+/** The conditions under which nothing has been stored of a job. */
+function isUnstored(job: string): readonly KeyCondition[] {
+  return [
+    {key: jobKey(job), revision: 0},
+    {key: progressKey(job), revision: 0},
+  ]
+}
+
 export function createIntake(ports: IntakePorts): Intake {
   const {clock, log, store, clients, leadership, planner, loads} = ports
   /** Memory of the jobs that were stored without the leader since it last stored one. */
@@ -131,10 +147,7 @@
     directBytes += memory
     const record = formatJob(job)
     const result = await store.commit({
-      conditions: [
-        {key: jobKey(job.id), revision: 0},
-        {key: progressKey(job.id), revision: 0},
-      ],
+      conditions: isUnstored(job.id),
       writes: [{key: jobKey(job.id), value: record}],
       removals: [],
     })
@@ -179,6 +192,7 @@
     const [stored, progress] = await Promise.all([store.read(jobKey(job)), store.read(progressKey(job))])
     if (stored.isErr() || progress.isErr()) return {type: "unavailable"}
     const record = progress.value && parseProgress(progress.value.value)
+    if (record?.withdrawn) return {type: "unknown-job"}
     if (record?.outcome) return {type: "state", state: record.outcome}
     if (record) return {type: "state", state: "running"}
     if (stored.value) return {type: "state", state: "queued"}
@@ -186,7 +200,7 @@
     const again = await store.read(progressKey(job))
     if (again.isErr()) return {type: "unavailable"}
     const late = again.value && parseProgress(again.value.value)
-    return late?.outcome ? {type: "state", state: late.outcome} : {type: "unknown-job"}
+    return late?.outcome && !late.withdrawn ? {type: "state", state: late.outcome} : {type: "unknown-job"}
   }
 
   async function state(job: string): Promise<StateAnswer> {
@@ -233,12 +247,40 @@
     return presentTerm === term && (answer === "cancelled" || answer === "ended")
   }
 
-  /** Writes a cancel request to the store, and acknowledges it once the leader applies it. */
+  /**
+   * Keeps a job that is not in the store from being stored, since its submission may still be under way: here, at another
+   * instance, or in a write that the store carries out late.
+   */
+  async function withdraw(job: string): Promise<CancelOutcome> {
+    const result = await store.commit({
+      conditions: isUnstored(job),
+      writes: [{key: progressKey(job), value: formatWithdrawal(clock.wallClock())}],
+      removals: [],
+    })
+    if (result.isErr() || result.value.type === "rejected") return "unavailable"
+    if (result.value.type === "committed") {
+      log.info(
+        {event: "job-withdrawn", job},
+        "a job was cancelled before it was stored and will not be stored",
+      )
+      return "unknown-job"
+    }
+    const progress = result.value.items.find(({key}) => key === progressKey(job))
+    if (progress && parseProgress(progress.value)?.withdrawn) return "unknown-job"
+    // The job has been stored meanwhile.
+    return cancelStored(job)
+  }
+
+  /** Cancels the job by the store alone if the leader does not know it or did not answer. */
   async function cancelDirectly(job: string): Promise<CancelOutcome> {
     const found = await readStateFromStore(job)
     if (found.type === "unavailable") return "unavailable"
-    if (found.type === "unknown-job") return "unknown-job"
-    if (found.state !== "queued" && found.state !== "running") return "cancelled"
+    if (found.type === "unknown-job") return withdraw(job)
+    return found.state === "queued" || found.state === "running" ? cancelStored(job) : "cancelled"
+  }
+
+  /** Writes a cancel request to the store, and acknowledges it once the leader applies it. */
+  async function cancelStored(job: string): Promise<CancelOutcome> {
     const result = await store.commit({
       conditions: [{key: cancelKey(job), revision: 0}],
       writes: [{key: cancelKey(job), value: ""}],
--- a/src/planner/jobtable.ts
+++ b/src/planner/jobtable.ts
@@ -19,6 +19,8 @@
 interface EndedJob {
   readonly outcome: Outcome
   readonly expiresAt: Milliseconds
+  /** The job was cancelled before it was stored, so that it counts as unknown. */
+  readonly isWithdrawn: boolean
 }
 
 export interface JobTable {
@@ -28,6 +30,10 @@
   readonly add: (job: PipelineJob, progress: Progress, inherited: boolean) => ActiveJob | undefined
   /** Adds a job that ended under an earlier leader. `writtenAt` is wall-clock time. */
   readonly addEnded: (job: string, outcome: Outcome, writtenAt: number) => void
+  /** Adds a job that an instance has withdrawn, so that it is never stored. `writtenAt` is wall-clock time. */
+  readonly addWithdrawn: (job: string, writtenAt: number) => void
+  /** True for a job that is active, has ended or was withdrawn. */
+  readonly has: (job: string) => boolean
   /** Undefined for an unknown job. Outcomes are returned only once they are stored. */
   readonly stateOf: (job: string) => ShownState | undefined
   /** Applies a change of progress. Resolves when the result is stored; undefined if it is stored already. */
@@ -53,7 +59,13 @@
   let memory = 0
 
   function recordEnd(job: string, outcome: Outcome): void {
-    ended.set(job, {outcome, expiresAt: clock.now() + ENDED_JOB_RETENTION_MS})
+    ended.set(job, {outcome, expiresAt: clock.now() + ENDED_JOB_RETENTION_MS, isWithdrawn: false})
+  }
+
+  function addEnded(job: string, outcome: Outcome, writtenAt: number, isWithdrawn: boolean): void {
+    const age = Math.max(0, clock.wallClock() - writtenAt)
+    const expiresAt = clock.now() + Math.max(0, ENDED_JOB_RETENTION_MS - age)
+    ended.set(job, {outcome, expiresAt, isWithdrawn})
   }
 
   function dropIfFinished(candidate: ActiveJob): void {
@@ -74,13 +86,12 @@
       memory += added.memory
       return added
     },
-    addEnded(job, outcome, writtenAt) {
-      const age = Math.max(0, clock.wallClock() - writtenAt)
-      ended.set(job, {outcome, expiresAt: clock.now() + Math.max(0, ENDED_JOB_RETENTION_MS - age)})
-    },
+    addEnded: (job, outcome, writtenAt) => addEnded(job, outcome, writtenAt, false),
+    addWithdrawn: (job, writtenAt) => addEnded(job, "cancelled", writtenAt, true),
+    has: job => active.has(job) || ended.has(job),
     stateOf(job) {
       const known = ended.get(job)
-      if (known) return known.outcome
+      if (known) return known.isWithdrawn ? undefined : known.outcome
       const found = active.get(job)
       if (!found) return undefined
       return found.hasStarted ? "running" : "queued"
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -36,6 +36,7 @@
   LEADER_KEY,
   parseKey,
   parseJob,
+  parseProgress,
   progressKey,
   rosterKey,
   STORE_PREFIX,
@@ -121,6 +122,8 @@
   let workRead: WorkRead = {sentAt: startedAt, answeredAt: startedAt}
   /** Bytes that the jobs whose records are being written are estimated to take. */
   let memoryBeingStored = 0
+  /** Jobs whose records are being written, each with the answer to its submission. */
+  const jobsBeingStored = new Map<string, Promise<StoreAnswer>>()
   /** Jobs with a stored cancellation that are not known yet. */
   const earlyCancellations = new Set<string>()
 
@@ -390,6 +393,9 @@
   }
 
   async function cancel(job: string, alreadyStored: boolean): Promise<CancelAnswer> {
+    // A caller may cancel a job without having waited until it is stored.
+    const storing = jobsBeingStored.get(job)
+    if (storing && !alreadyStored) await storing
     if (jobs.stateOf(job) === undefined) {
       if (!alreadyStored) return "unknown-job"
       // A complete list of the store has cancellations before jobs.
@@ -403,6 +409,13 @@
     return active.progress.outcome === "cancelled" ? "cancelled" : "ended"
   }
 
+  /** A job that this leader does not know has progress only if an instance has withdrawn it. */
+  function applyWithdrawal(job: string, text: string): void {
+    if (jobs.has(job) || !parseProgress(text)?.withdrawn) return
+    log.info({event: "job-withdrawn", job}, "a job was cancelled before it was stored and will not be stored")
+    jobs.addWithdrawn(job, clock.wallClock())
+  }
+
   /** Applies jobs and cancellations that other instances have stored directly, and detects a later leader. */
   function applyStoredWork(
     items: readonly Pick<KeyChange, "key" | "revision" | "value">[],
@@ -419,6 +432,7 @@
         // An earlier leader may have known of the job and started its tasks.
         if (job) addJob(job, INITIAL_PROGRESS, true)
       } else if (meaning.type === "cancel") void cancel(meaning.job, true)
+      else applyWithdrawal(meaning.job, value)
     }
   }
 
@@ -427,7 +441,8 @@
     const work = readStoredWork(items)
     for (const {job, revision, record} of work.progress.values()) {
       ledger.setRevision(progressKey(job), revision)
-      if (record?.outcome) jobs.addEnded(job, record.outcome, record.writtenAt)
+      if (record?.withdrawn) jobs.addWithdrawn(job, record.writtenAt)
+      else if (record?.outcome) jobs.addEnded(job, record.outcome, record.writtenAt)
     }
     for (const job of work.jobs) {
       const record = work.progress.get(job.id)?.record
@@ -525,6 +540,13 @@
     return {loads: counts, age: clock.now() - Math.min(workRead.answeredAt, workRead.sentAt + WORK_POLL_MS)}
   }
 
+  async function storeNewJob(job: PipelineJob): Promise<StoreAnswer> {
+    const outcome = await ledger.storeJob(job)
+    if (outcome === "stored" && !isClosed) addJob(job)
+    // An existing job is already in the job table, or the next poll of the store finds it.
+    return outcome === "exists" ? "stored" : outcome
+  }
+
   function close(): void {
     isClosed = true
     pool.close()
@@ -544,7 +566,7 @@
         if (!isClosed && isLoaded) addJob(job)
         return "stored"
       }
-      if (jobs.stateOf(job.id) !== undefined) return "stored"
+      if (jobs.has(job.id)) return "stored"
       const memory = estimateMemory(job)
       if (jobs.memory() + memoryBeingStored + memory > MAX_ACCEPTED_BYTES) {
         log.warn(
@@ -554,10 +576,12 @@
         return "over-capacity"
       }
       memoryBeingStored += memory
-      const outcome = await ledger.storeJob(job).finally(() => (memoryBeingStored -= memory))
-      if (outcome === "stored" && !isClosed) addJob(job)
-      // An existing job is already in the job table, or the next poll of the store finds it.
-      return outcome === "exists" ? "stored" : outcome
+      const storing = storeNewJob(job)
+      jobsBeingStored.set(job.id, storing)
+      return storing.finally(() => {
+        memoryBeingStored -= memory
+        if (jobsBeingStored.get(job.id) === storing) jobsBeingStored.delete(job.id)
+      })
     },
     stateOf: job => jobs.stateOf(job),
     cancel,
--- a/src/planner/records.ts
+++ b/src/planner/records.ts
@@ -1,6 +1,7 @@
 /** The keys that instances keep in the store, and the JSON encoding of their values. */
 import type {PipelineJob} from "../pipelines/model.js"
 import type {Progress} from "../pipelines/progress.js"
+import {NO_PROGRESS} from "../pipelines/progress.js"
 import type {WorkerListing} from "../pipelines/model.js"
 import type {UsedServices} from "./queueservices.js"
 
@@ -53,6 +54,11 @@
 export interface ProgressRecord extends Progress {
   /** Wall-clock time of the write, from which the retention of an ended job counts. */
   readonly writtenAt: number
+  /**
+   * The job was cancelled before it was stored. The record keeps it from being stored by a write that is still under way,
+   * and the job counts as unknown.
+   */
+  readonly withdrawn?: boolean
 }
 
 /** A leader of an earlier term that may still act. */
@@ -138,6 +144,11 @@
   return JSON.stringify(progress)
 }
 
+/** The record of a job that is cancelled before it is stored. */
+export function formatWithdrawal(writtenAt: number): string {
+  return formatProgress({...NO_PROGRESS, outcome: "cancelled", withdrawn: true, writtenAt})
+}
+
 export function parseProgress(text: string): ProgressRecord | undefined {
   const value = parseJson(text)
   return hasFields(value, "done", "failures", "writtenAt") ? (value as ProgressRecord) : undefined
