The progress of a job depends on what is open of it, not on what is done

It also kept the failures of tasks that were done, and all of it after the end of the job. Such a record outgrows what the store takes; the job's ends are then never stored nor acknowledged.

Change: later occurrences that are done are counted in ranges, between which there are only open ones. Failures are forgotten once their task is done, and the record of a job that has ended tells its outcome only. Records of the former version are read as before.

The test of what progress lists is stricter now: it lists no occurrence that is done, also beyond one that is not.

--- a/src/pipelines/progress.ts
+++ b/src/pipelines/progress.ts
@@ -6,6 +6,9 @@
 
 export type Outcome = "completed" | "failed" | "cancelled"
 
+/** Occurrences from the first to the last one, inclusive. */
+export type OccurrenceRange = readonly [first: number, last: number]
+
 export interface Progress {
   readonly outcome: Outcome | undefined
   /**
@@ -13,13 +16,18 @@
    * the first occurrence is not done.
    */
   readonly completedOccurrences?: number
+  /**
+   * Later occurrences that are done, in order; `done` and `failures` do not list them either. There are gaps between the
+   * ranges, each with an occurrence that is open. Absent if there are none.
+   */
+  readonly laterCompleted?: readonly OccurrenceRange[]
   /**
    * By `occurrence.step`: a string with one character for each task, `1` for done and `0` for not done. Absent while no
    * task of the step is done.
    */
   readonly done: Readonly<Record<string, string>>
   /**
-   * By `occurrence.step.index`: the failed runs, each as `attempt@worker`. A gang has one list, under index 0, with the
+   * By `occurrence.step.index`: the failed runs of a task that is not done, each as `attempt@worker`. A gang has one list, under index 0, with the
    * attempt only. Runs are listed rather than counted, since a worker reports an end again to each new leader until
    * the end is acknowledged.
    */
@@ -50,9 +58,10 @@
   return step
 }
 
-/** True if all occurrences up to this one are done. */
-function isCompleted(progress: Progress, occurrence: number): boolean {
-  return occurrence < (progress.completedOccurrences ?? 0)
+/** True if the occurrence is done and no longer listed. */
+function isCompleted({completedOccurrences = 0, laterCompleted = []}: Progress, occurrence: number): boolean {
+  if (occurrence < completedOccurrences) return true
+  return laterCompleted.some(([first, last]) => first <= occurrence && occurrence <= last)
 }
 
 export function isDone(progress: Progress, task: TaskName): boolean {
@@ -75,21 +84,47 @@
   return job.steps.every((_, step) => isStepDone(job, progress, occurrence, step))
 }
 
-/** Counts the occurrences that are done, in place of listing their tasks, and completes the job after the last one. */
-function completeOccurrences(job: PipelineJob, progress: Progress): Progress {
-  const before = progress.completedOccurrences ?? 0
-  let completed = before
-  while (completed < job.occurrences && isOccurrenceDone(job, progress, completed)) completed += 1
+/** Adds an occurrence to ranges that do not contain it, and joins the ranges that it closes the gap between. */
+function addToRanges(ranges: readonly OccurrenceRange[], occurrence: number): readonly OccurrenceRange[] {
+  const before = ranges.filter(([, last]) => last < occurrence - 1)
+  const after = ranges.filter(([first]) => first > occurrence + 1)
+  const adjacent = ranges.slice(before.length, ranges.length - after.length)
+  const joined: OccurrenceRange = [
+    Math.min(occurrence, ...adjacent.map(([first]) => first)),
+    Math.max(occurrence, ...adjacent.map(([, last]) => last)),
+  ]
+  return [...before, joined, ...after]
+}
+
+function omit<T>(
+  record: Readonly<Record<string, T>>,
+  isOmitted: (key: string) => boolean,
+): Readonly<Record<string, T>> {
+  return Object.fromEntries(Object.entries(record).filter(([key]) => !isOmitted(key)))
+}
+
+/**
+ * Counts the occurrence, in place of listing its tasks, once all of them are done. Completes the job after the last one.
+ * The length of the progress then depends on the open occurrences only, of which there are few.
+ */
+function completeOccurrence(job: PipelineJob, progress: Progress, occurrence: number): Progress {
+  if (!isOccurrenceDone(job, progress, occurrence)) return progress
+  const {completedOccurrences = 0, laterCompleted = [], outcome} = progress
+  const ranges = addToRanges(laterCompleted, occurrence)
+  const next = ranges.find(([first]) => first === completedOccurrences)
+  const completed = next ? next[1] + 1 : completedOccurrences
   if (completed === job.occurrences) return {...progress, outcome: "completed"}
-  if (completed === before) return progress
-  const withoutCompleted = <T>(record: Readonly<Record<string, T>>): Readonly<Record<string, T>> =>
-    Object.fromEntries(Object.entries(record).filter(([key]) => Number.parseInt(key, 10) >= completed))
-  return {
-    ...progress,
-    completedOccurrences: completed,
-    done: withoutCompleted(progress.done),
-    failures: withoutCompleted(progress.failures),
+  const later = ranges.filter(range => range !== next)
+  const isOfOccurrence = (key: string): boolean => key.startsWith(`${occurrence}.`)
+  const counted: Progress = {
+    outcome,
+    ...(completed > 0 ? {completedOccurrences: completed} : {}),
+    ...(later.length > 0 ? {laterCompleted: later} : {}),
+    done: omit(progress.done, isOfOccurrence),
+    failures: omit(progress.failures, isOfOccurrence),
   }
+  // Earlier versions listed later occurrences until all before them were done.
+  return next ? completeOccurrence(job, counted, completed) : counted
 }
 
 function markDone(job: PipelineJob, progress: Progress, task: TaskName): Progress {
@@ -99,8 +134,13 @@
   const doneFlags = step.gang
     ? "1".repeat(step.count)
     : `${previousFlags.slice(0, task.index)}1${previousFlags.slice(task.index + 1)}`
-  const next = {...progress, done: {...progress.done, [key]: doneFlags}}
-  return completeOccurrences(job, next)
+  const failuresKey = `${key}.${step.gang ? 0 : task.index}`
+  const next = {
+    ...progress,
+    done: {...progress.done, [key]: doneFlags},
+    failures: omit(progress.failures, one => one === failuresKey),
+  }
+  return completeOccurrence(job, next, task.occurrence)
 }
 
 /** The highest attempt number among the recorded failures of a task; 0 for none. */
--- a/test/fleet/schedules.test.ts
+++ b/test/fleet/schedules.test.ts
@@ -4,7 +4,7 @@
 import type {PipelineJob} from "../../src/pipelines/model.js"
 import type {Progress} from "../../src/pipelines/progress.js"
 import {applyProgress, isDone, NO_PROGRESS} from "../../src/pipelines/progress.js"
-import {parseProgress, progressKey} from "../../src/planner/records.js"
+import {formatProgress, parseProgress, progressKey} from "../../src/planner/records.js"
 import {createActiveJob, findStepRun, openDueOccurrences} from "../../src/planner/state.js"
 import {jobOf, testFleet} from "../support/fleet.js"
 
@@ -49,7 +49,7 @@
   t.is(findStepRun(active, 0, 1), undefined)
 })
 
-test("progress lists no occurrence that is done, up to the first that is not", t => {
+test("progress lists no occurrence that is done, also beyond one that is not", t => {
   const job = scheduleOf(3, 1000, {occurrences: 4})
   const states: Progress[] = []
   let progress = NO_PROGRESS
@@ -62,6 +62,59 @@
   t.is(createActiveJob(job, states[2] ?? NO_PROGRESS, 0, true).nextOccurrence, 2)
 })
 
+// The progress of a schedule with an occurrence that could not end grew beyond what the store takes.
+test("progress stays short while an early occurrence is open and thousands after it are done", t => {
+  const job = scheduleOf(7, 1000)
+  const order = Array.from({length: WEEK - 1}, (_, index) => (index * 7) % (WEEK - 1)).map(index => index + 1)
+  let progress = NO_PROGRESS
+  let longest = 0
+  for (const occurrence of order.filter(one => one !== 500)) {
+    progress = finish(job, progress, occurrence)
+    longest = Math.max(longest, JSON.stringify(progress).length)
+  }
+  t.true(longest < 50_000, `${longest} bytes`)
+  t.deepEqual(progress, {
+    ...NO_PROGRESS,
+    laterCompleted: [
+      [1, 499],
+      [501, WEEK - 1],
+    ],
+  })
+  t.false(isDone(progress, {job: job.id, occurrence: 500, step: 0, index: 0}))
+  progress = finish(job, progress, 0)
+  t.deepEqual(progress, {...NO_PROGRESS, completedOccurrences: 500, laterCompleted: [[501, WEEK - 1]]})
+  t.is(finish(job, progress, 500).outcome, "completed")
+})
+
+test("a schedule whose done occurrences an earlier version has listed is completed", t => {
+  const job = scheduleOf(8, 1000, {occurrences: 4})
+  const listed: Progress = {...NO_PROGRESS, done: {"1.0": "11111", "2.0": "11111"}}
+  const progress = finish(job, listed, 0)
+  t.is(progress.completedOccurrences, 3)
+  t.deepEqual(progress.done, {})
+  t.is(finish(job, progress, 3).outcome, "completed")
+})
+
+test("progress forgets the failures of a task that is done, and what was done of a job that has ended", t => {
+  const job = jobOf(9, [{count: 2}])
+  const [first, second] = [0, 1].map(index => ({job: job.id, occurrence: 0, step: 0, index}))
+  if (!first || !second) return t.fail()
+  const failed = [first, second].reduce<Progress>(
+    (before, task) =>
+      applyProgress(job, before, {type: "task-failed", task, attempt: 1, worker: "w", limit: 3}),
+    NO_PROGRESS,
+  )
+  const half = applyProgress(job, failed, {type: "task-done", task: first})
+  t.deepEqual(half.failures, {"0.0.1": ["1@w"]})
+  const record = {...applyProgress(job, half, {type: "task-done", task: second}), writtenAt: 1}
+  t.deepEqual(parseProgress(formatProgress(record)), {
+    done: {},
+    failures: {},
+    outcome: "completed",
+    writtenAt: 1,
+  })
+})
+
 test("each occurrence runs once, also beyond those that may be open at once and across a change of the leader", async t => {
   const fleet = testFleet({
     planOf: () => ({demand: {processors: 0.1, memoryMebibytes: 1, accelerators: 0}, duration: 50}),
