A job whose record is longer than the store takes is refused at once

A request of 4,000 short steps, under 50 KB, became a record of more than 1 MiB, which the store rejected together with what other callers had submitted; its own caller heard 504 and tried again in vain.

Change: such a job is answered with 400 and the reason. The limit is the new setting [limits] stored_value, which the template fills in.

--- a/src/cli/daemon.ts
+++ b/src/cli/daemon.ts
@@ -80,6 +80,7 @@
     intake: instance.intake,
     configuration: instance.configuration,
     wallClock: clock.wallClock,
+    longestRecord: settings.longestStoredValue,
     log,
     isDraining: instance.isDraining,
   })
--- a/src/platform/frontend.ts
+++ b/src/platform/frontend.ts
@@ -16,6 +16,8 @@
   readonly intake: Intake
   readonly configuration: () => FleetConfiguration | undefined
   readonly wallClock: () => Milliseconds
+  /** Limit on the record of a job in the store, in bytes. */
+  readonly longestRecord: number
   readonly log: Logger
   /** Whether the instance is about to stop, so that callers should open new connections to other instances. */
   readonly isDraining: () => boolean
@@ -81,7 +83,7 @@
 
 /** Creates the server for callers, which is not listening yet. */
 export function createFrontend(ports: FrontendPorts): Server {
-  const {intake, configuration, wallClock, log} = ports
+  const {intake, configuration, wallClock, longestRecord, log} = ports
 
   function resolveTarget(request: IncomingMessage): Target | "no-configuration" | "not-found" {
     const current = configuration()
@@ -98,7 +100,7 @@
     const {queue, job: id, bodyLimit} = target
     const body = await readBody(request, bodyLimit)
     if (body === undefined) return refusal(413, `The body is longer than ${bodyLimit} bytes.`)
-    const job = readJobRequest(body, {id, queue, acceptedAt: wallClock()})
+    const job = readJobRequest(body, {id, queue, acceptedAt: wallClock()}, longestRecord)
     if (job.isErr()) {
       log.info(
         {event: "submit-malformed", job: id, queue: queue.name, problems: job.error},
--- a/src/platform/jobrequest.ts
+++ b/src/platform/jobrequest.ts
@@ -60,8 +60,15 @@
   return problems
 }
 
-/** Decodes the request body of a submitted job. The error lists all problems. */
-export function readJobRequest(body: string, identity: JobIdentity): Result<PipelineJob, readonly string[]> {
+/**
+ * Decodes the request body of a submitted job, whose record may take up to `longestRecord` bytes. The error lists all
+ * problems.
+ */
+export function readJobRequest(
+  body: string,
+  identity: JobIdentity,
+  longestRecord: number,
+): Result<PipelineJob, readonly string[]> {
   const fields = asObject(parseJson(body))
   const steps = asArray(fields.Pipeline)
   const problems = steps.flatMap((step, index) => findStepProblems(step, index))
@@ -81,5 +88,9 @@
     interval: asNumber(fields.IntervalMs),
   }
   if (estimateMemory(job) > MAX_JOB_BYTES) return err(["Pipeline has too many steps or tasks for one job."])
+  // The record names every field of each step, so it is longer than the request.
+  const recordLength = Buffer.byteLength(JSON.stringify(job))
+  if (recordLength > longestRecord)
+    return err([`The job takes ${recordLength} bytes in the store, which is more than ${longestRecord}.`])
   return ok(job)
 }
--- a/src/settings/fleetsettings.ts
+++ b/src/settings/fleetsettings.ts
@@ -7,7 +7,7 @@
 import type {Result} from "neverthrow"
 import type {Milliseconds} from "../core/clock.js"
 import {describeError} from "../core/errors.js"
-import {address, decimal, duration, fieldReader, list, oneOf, text} from "../core/fields.js"
+import {address, decimal, duration, fieldReader, integer, list, oneOf, text} from "../core/fields.js"
 import type {Finding} from "../core/finding.js"
 import {readIni} from "../core/inifile.js"
 
@@ -30,6 +30,8 @@
   readonly machinesAddress: string
   /** Longest lease that the workers grant. */
   readonly longestLease: Milliseconds
+  /** Limit on the length of a value in the store, in bytes. */
+  readonly longestStoredValue: number
   /** Time from the stop signal until the platform ends the process. */
   readonly stopGrace: Milliseconds
   /** Processors that the instance may use, scaled by their speed relative to a typical processor. */
@@ -50,6 +52,9 @@
 /** Every known kind of worker grants a lease of this length. */
 const DEFAULT_LONGEST_LEASE_MS: Milliseconds = 6000
 const MAX_PROCESSORS = 1024
+/** The limit of every known store. */
+const DEFAULT_STORED_VALUE_BYTES = 2 ** 20
+const MAX_STORED_VALUE_BYTES = 2 ** 30
 const DEFAULT_STOP_GRACE_MS: Milliseconds = 6000
 
 /** Accepts any text, including an empty one. */
@@ -71,6 +76,12 @@
     adviceAddress: fields.optional("platform", "advice", anyText, ""),
     machinesAddress: fields.optional("platform", "machines", anyText, ""),
     longestLease: fields.optional("limits", "longest_lease", duration, DEFAULT_LONGEST_LEASE_MS),
+    longestStoredValue: fields.optional(
+      "limits",
+      "stored_value",
+      integer(1, MAX_STORED_VALUE_BYTES),
+      DEFAULT_STORED_VALUE_BYTES,
+    ),
     stopGrace: fields.optional("limits", "stop_grace", duration, DEFAULT_STOP_GRACE_MS),
     processors:
       fields.optional("limits", "processor_share", decimal(0, MAX_PROCESSORS), 1) *
--- a/test/fleet/daemon.test.ts
+++ b/test/fleet/daemon.test.ts
@@ -85,6 +85,7 @@
     "store",
     "advice",
     "longest_lease",
+    "stored_value",
     "stop_grace",
   ])
     t.regex(template, new RegExp(`^${key} = `, "m"))
--- a/test/platform/calls.test.ts
+++ b/test/platform/calls.test.ts
@@ -383,6 +383,7 @@
   }
   const held: {present: FleetConfiguration | undefined} = {present: undefined}
   const server = createFrontend({
+    longestRecord: 2 ** 20,
     intake,
     configuration: () => held.present,
     wallClock: () => 0,
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -52,26 +52,41 @@
   ],
 }
 
+const LONGEST_RECORD = 2 ** 20
 const IDENTITY = {id: "5c0e7a21d94b36f8", queue: QUEUE, acceptedAt: 1000}
 
 test("an entry of a worker, a configuration and a job become the project's types", t => {
   t.snapshot(FLEET_READER.decodeWorker("servers/i-7f", JSON.stringify(ENTRY)))
   t.snapshot(FLEET_READER.decodeConfiguration(JSON.stringify(CONFIGURATION)))
-  t.snapshot(readJobRequest(JSON.stringify(JOB), IDENTITY)._unsafeUnwrap())
+  t.snapshot(readJobRequest(JSON.stringify(JOB), IDENTITY, LONGEST_RECORD)._unsafeUnwrap())
 })
 
 test("a job that no leader could hold is refused with the reason", t => {
   const steps = Array.from({length: 3}, () => ({Count: 100_000}))
-  t.deepEqual(readJobRequest(JSON.stringify({Spec: "", Pipeline: steps}), IDENTITY)._unsafeUnwrapErr(), [
-    "Pipeline has too many steps or tasks for one job.",
-  ])
-  t.true(readJobRequest(JSON.stringify({Spec: "", Pipeline: steps.slice(1)}), IDENTITY).isErr())
-  t.true(readJobRequest(JSON.stringify({Spec: "", Pipeline: steps.slice(2)}), IDENTITY).isOk())
+  t.deepEqual(
+    readJobRequest(JSON.stringify({Spec: "", Pipeline: steps}), IDENTITY, LONGEST_RECORD)._unsafeUnwrapErr(),
+    ["Pipeline has too many steps or tasks for one job."],
+  )
+  t.true(
+    readJobRequest(JSON.stringify({Spec: "", Pipeline: steps.slice(1)}), IDENTITY, LONGEST_RECORD).isErr(),
+  )
+  t.true(
+    readJobRequest(JSON.stringify({Spec: "", Pipeline: steps.slice(2)}), IDENTITY, LONGEST_RECORD).isOk(),
+  )
+})
+
+// The store did not take the record, and with it failed what other callers submitted.
+test("a job whose record would be longer than the store takes is refused with the reason", t => {
+  const body = JSON.stringify({Spec: "", Pipeline: Array.from({length: 4000}, () => ({Count: 1}))})
+  t.true(body.length < 50_000)
+  const problems = readJobRequest(body, IDENTITY, LONGEST_RECORD)._unsafeUnwrapErr()
+  t.regex(problems.join(" "), /^The job takes \d+ bytes in the store, which is more than 1048576\.$/)
+  t.true(readJobRequest(body, IDENTITY, 2 * LONGEST_RECORD).isOk())
 })
 
 test("a repeated job has its occurrences and due times", t => {
   const body = JSON.stringify({...JOB, RepeatCount: 3, StartAtMs: 5000, IntervalMs: 700})
-  const {occurrences, firstDue, interval} = readJobRequest(body, IDENTITY)._unsafeUnwrap()
+  const {occurrences, firstDue, interval} = readJobRequest(body, IDENTITY, LONGEST_RECORD)._unsafeUnwrap()
   t.deepEqual({occurrences, firstDue, interval}, {occurrences: 3, firstDue: 5000, interval: 700})
 })
 
@@ -84,8 +99,8 @@
     ],
     RepeatCount: 0.5,
   })
-  t.snapshot(readJobRequest(body, IDENTITY)._unsafeUnwrapErr())
-  t.true(readJobRequest("not json", IDENTITY).isErr())
+  t.snapshot(readJobRequest(body, IDENTITY, LONGEST_RECORD)._unsafeUnwrapErr())
+  t.true(readJobRequest("not json", IDENTITY, LONGEST_RECORD).isErr())
 })
 
 test("a malformed worker entry decodes to undefined", t => {
@@ -148,9 +163,15 @@
 test("input that is nested deeply, or has numbers out of range, is refused and never throws", t => {
   const nested = `${"[".repeat(100_000)}${"]".repeat(100_000)}`
   const deepStep = JSON.stringify(JOB).replace('"Cpu":500', `"Cpu":${nested}`)
-  t.true(readJobRequest(deepStep, IDENTITY).isErr())
-  t.true(readJobRequest(nested, IDENTITY).isErr())
-  t.true(readJobRequest(JSON.stringify(JOB).replace('"Count":4', '"Count":1e999'), IDENTITY).isErr())
+  t.true(readJobRequest(deepStep, IDENTITY, LONGEST_RECORD).isErr())
+  t.true(readJobRequest(nested, IDENTITY, LONGEST_RECORD).isErr())
+  t.true(
+    readJobRequest(
+      JSON.stringify(JOB).replace('"Count":4', '"Count":1e999'),
+      IDENTITY,
+      LONGEST_RECORD,
+    ).isErr(),
+  )
   t.is(FLEET_READER.decodeConfiguration(nested), undefined)
   const deepRoute = JSON.stringify(CONFIGURATION).replace('"Priority":0', `"Priority":${nested}`)
   t.is(FLEET_READER.decodeConfiguration(deepRoute)?.queues[0]?.priority, 0)
@@ -184,7 +205,7 @@
       fastCheck.property(arbitrary, text => {
         FLEET_READER.decodeWorker("servers/x", text)
         FLEET_READER.decodeConfiguration(text)
-        const job = readJobRequest(text, IDENTITY)
+        const job = readJobRequest(text, IDENTITY, LONGEST_RECORD)
         return job.isErr() || job.value.steps.every(step => step.count >= 1 && step.demand.processors >= 0)
       }),
       {seed: 7, numRuns: 3000},
@@ -213,6 +234,9 @@
   const settings = readFleetSettings("a.ini", SETTINGS)._unsafeUnwrap()
   t.deepEqual(seedAddresses(settings), ["10.1.0.30:7380", "10.2.0.34:7380"])
   t.is(settings.longestLease, 10_000)
+  t.is(settings.longestStoredValue, 2 ** 20)
+  const smaller = readFleetSettings("a.ini", `${SETTINGS}stored_value = 65536\n`)._unsafeUnwrap()
+  t.is(smaller.longestStoredValue, 65_536)
   const malformed = readFleetSettings(
     "a.ini",
     SETTINGS.replace("10.200.1.7:8142", "store").replace("[status]\n", "[state]\n"),
