A platform that fills in no limit for stored values gets the default

Cause: the template renders to an empty value where the platform names no limit, and an instance with such settings did not start.

Change: the empty value stands for the default.

--- a/src/settings/fleetsettings.ts
+++ b/src/settings/fleetsettings.ts
@@ -8,6 +8,7 @@
 import type {Milliseconds} from "../core/clock.js"
 import {describeError} from "../core/errors.js"
 import {address, decimal, duration, fieldReader, integer, list, oneOf, text} from "../core/fields.js"
+import type {FieldParser} from "../core/fields.js"
 import type {Finding} from "../core/finding.js"
 import {readIni} from "../core/inifile.js"
 
@@ -57,6 +58,10 @@
 const MAX_STORED_VALUE_BYTES = 2 ** 30
 const DEFAULT_STOP_GRACE_MS: Milliseconds = 6000
 
+/** An empty text stands for the default, since not every platform fills in the limit. */
+const storedValueLength: FieldParser<number> = value =>
+  value === "" ? ok(DEFAULT_STORED_VALUE_BYTES) : integer(1, MAX_STORED_VALUE_BYTES)(value)
+
 /** Accepts any text, including an empty one. */
 const anyText = (value: string): Result<string, never> => ok(value)
 
@@ -79,7 +84,7 @@
     longestStoredValue: fields.optional(
       "limits",
       "stored_value",
-      integer(1, MAX_STORED_VALUE_BYTES),
+      storedValueLength,
       DEFAULT_STORED_VALUE_BYTES,
     ),
     stopGrace: fields.optional("limits", "stop_grace", duration, DEFAULT_STOP_GRACE_MS),
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -237,6 +237,8 @@
   t.is(settings.longestStoredValue, 2 ** 20)
   const smaller = readFleetSettings("a.ini", `${SETTINGS}stored_value = 65536\n`)._unsafeUnwrap()
   t.is(smaller.longestStoredValue, 65_536)
+  const unknown = readFleetSettings("a.ini", `${SETTINGS}stored_value =\n`)._unsafeUnwrap()
+  t.is(unknown.longestStoredValue, 2 ** 20)
   const malformed = readFleetSettings(
     "a.ini",
     SETTINGS.replace("10.200.1.7:8142", "store").replace("[status]\n", "[state]\n"),
