A restarted worker gets tasks only by the entry of its present life

Cause: its reports tell of the new life at once, and the leader placed tasks by the entry of the former one, which cannot change while the store is down.

Change: a worker is usable only while its listing and its reports are of the same life. Labels and racks come from the listing too. In the soak a worker that restarts writes its entry anew, as those of the platform do; the workers of the unit tests of passes have reported their life.

--- a/src/planner/candidates.ts
+++ b/src/planner/candidates.ts
@@ -15,8 +15,11 @@
 /** True when the worker may be given new tasks. */
 export function isUsable(worker: WorkerState, now: Milliseconds): boolean {
   const known = worker.isListed && worker.isFenced && worker.isRecorded && worker.isReachable
+  // A worker may come back with less capacity or other labels, which only the entry of its present life tells.
+  const isDescribed = worker.listing.bornAt === worker.incarnation
   return (
     known &&
+    isDescribed &&
     !worker.listing.leaving &&
     !worker.isClosed &&
     worker.unknownTaskCount === 0 &&
--- a/test/fleet/workerentries.test.ts
+++ b/test/fleet/workerentries.test.ts
@@ -128,6 +128,33 @@
   t.deepEqual(fleet.store.rejections(), [])
 })
 
+// The leader went on with the entry of the worker's former life, which could not change while the store was down.
+test("a worker that restarts with less capacity while the store is down is given no more than it has", async t => {
+  const fleet = testFleet({workers: 2, planOf: () => ({demand: STEP.demand, duration: 1000})})
+  await fleet.clock.advance(1000)
+  const job = jobOf(5, [{count: 120}])
+  t.is((await fleet.submit("entry-1", job)).type, "stored")
+  await fleet.clock.advance(1200)
+  fleet.store.setMode("refusing")
+  fleet.workers.crash("worker-1")
+  const smaller = listingOf("worker-1", {
+    bornAt: Math.floor(fleet.clock.now()),
+    capacity: {processors: 2, memoryMebibytes: 1000, accelerators: 0},
+  })
+  await fleet.clock.advance(300)
+  fleet.workers.addWorker(smaller)
+  await fleet.clock.advance(4000)
+  fleet.store.setMode("up")
+  fleet.register(smaller)
+  await fleet.clock.advance(15_000)
+  t.is(await fleet.stateAt("entry-1", job), "completed")
+  t.deepEqual(fleet.workers.violations(), [])
+  const startsThere = fleet.logLines.filter(
+    ({event, fields, at}) => event === "start" && fields.worker === "worker-1" && at > 6600,
+  )
+  t.true(startsThere.length > 0, "it is used again once its entry tells what it has")
+})
+
 test("after all instances restarted, a worker that had left or was leaving gets no tasks", async t => {
   const fleet = testFleet({workers: 3})
   await fleet.clock.advance(1000)
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -8,6 +8,7 @@
 import {systemClock} from "../../src/core/clock.js"
 import type {Random} from "../../src/core/random.js"
 import {seededRandom} from "../../src/core/random.js"
+import type {WorkerListing} from "../../src/pipelines/model.js"
 import {fakeStore} from "../support/fakestore.js"
 import type {FakeStore} from "../support/fakestore.js"
 import {fakeWorkers} from "../support/fakeworkers.js"
@@ -48,6 +49,8 @@
   readonly workers: FakeWorkers
   readonly workerNames: readonly string[]
   readonly crash: (worker: string) => void
+  /** Starts a worker again, which then writes its entry anew. */
+  readonly restart: (worker: string) => void
   readonly instances: readonly SoakInstance[]
   readonly storeLinks: readonly Proxy[]
   readonly workerLinks: readonly Proxy[]
@@ -77,15 +80,15 @@
   return item
 }
 
-function listingText(id: string, address: string, leaving: boolean): string {
+function listingText({id, address, bornAt}: WorkerListing): string {
   return JSON.stringify({
     Service: "crease",
     Address: address,
     Zone: "a",
-    State: leaving ? "draining" : "ready",
+    State: "ready",
     Labels: ["a", "r1"],
     FreeCapacity: {Cpu: WORKER_PROCESSORS * 1000, MemMb: 10_000, Gpu: 4},
-    born: 1,
+    born: bornAt,
     Id: id,
   })
 }
@@ -151,7 +154,7 @@
     case 8: {
       const name = pick(random, world.workerNames)
       world.crash(name)
-      later(() => workers.restart(name))
+      later(() => world.restart(name))
       return `crash ${name}`
     }
     case 9:
@@ -232,6 +235,7 @@
     return {demand: STEP.demand, duration: 100 + random.below(700)}
   })
 
+  const register = (name: string): void => store.put(`servers/${name}`, listingText(workers.listing(name)))
   const workerNames = Array.from({length: options.workers}, (_, index) => `worker-${index + 1}`)
   const closers: (() => void)[] = []
   const workerLinks: Proxy[] = []
@@ -245,7 +249,7 @@
     workerLinks.push(link)
     closers.push(link.close, server.close)
     workers.addWorker(listingOf(name, {address}))
-    store.put(`servers/${name}`, listingText(name, address, false))
+    register(name)
   }
   let version = 0
   const configure = (): void => {
@@ -283,7 +287,12 @@
     workers.crash(worker)
     workerServers.get(worker)?.endConnections()
   }
-  const world = {random, store, workers, workerNames, crash, instances, storeLinks, workerLinks, configure}
+  const restart = (worker: string): void => {
+    workers.restart(worker)
+    register(worker)
+  }
+  const links = {storeLinks, workerLinks}
+  const world = {random, store, workers, workerNames, crash, restart, instances, ...links, configure}
   const injected: string[] = []
   const waits = watchWaits(workers, callers, options.workers * WORKER_PROCESSORS, faults)
   try {
--- a/test/support/fakeworkers.ts
+++ b/test/support/fakeworkers.ts
@@ -364,7 +364,7 @@
       const worker = findWorker(id)
       if (worker.alive) return
       worker.alive = true
-      worker.bornAt = clock.now() + 1
+      worker.bornAt = Math.floor(clock.now()) + 1
       worker.listing = {...worker.listing, bornAt: worker.bornAt}
       worker.clockOffset = -clock.now() * 0.99
       worker.highestTerm = 0
--- a/test/unit/passes.test.ts
+++ b/test/unit/passes.test.ts
@@ -19,6 +19,7 @@
     const listing = listingOf(`worker-${index}`)
     const worker = Object.assign(createWorker(listing, true, 0), {
       isFenced: true,
+      incarnation: listing.bornAt,
       isRecorded: true,
       isReachable: true,
     })
