--- a/src/pipelines/progress.ts
+++ b/src/pipelines/progress.ts
@@ -27,9 +27,9 @@
    */
   readonly done: Readonly<Record<string, string>>
   /**
-   * By `occurrence.step.index`: the failed runs of a task that is not done, each as `attempt@worker`. A gang has one list, under index 0, with the
-   * attempt only. Runs are listed rather than counted, since a worker reports an end again to each new leader until
-   * the end is acknowledged.
+   * By `occurrence.step.index`: the failed runs of a task that is not done, each as `attempt@worker`. A gang has one
+   * list, under index 0, with the attempt only. Runs are listed rather than counted, since a worker reports an end again
+   * to each new leader until the end is acknowledged.
    */
   readonly failures: Readonly<Record<string, readonly string[]>>
 }
--- a/src/planner/barrier.ts
+++ b/src/planner/barrier.ts
@@ -1,9 +1,9 @@
 /**
  * The barrier of a new leader. It holds back tasks of inherited jobs while a worker that has not listed everything may
- * still run them for an earlier leader, or have run them, so that no task runs twice. For unreachable workers it is lifted one lease after the last earlier leader has stopped
- * extending leases. An earlier leader has stopped once it follows this leader, once too few followers are left to it
- * and the store has not confirmed it for a while, or, whatever else is known, once the longest time limit has passed
- * since it was replaced.
+ * still run them for an earlier leader, or have run them, so that no task runs twice. For unreachable workers it is
+ * lifted one lease after the last earlier leader has stopped extending leases. An earlier leader has stopped once it
+ * follows this leader, once too few followers are left to it and the store has not confirmed it for a while, or, whatever
+ * else is known, once the longest time limit has passed since it was replaced.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
--- a/src/planner/intake.ts
+++ b/src/planner/intake.ts
@@ -9,7 +9,7 @@
 import type {CancelAnswer, FleetClients, QueueLoad, StoreAnswer} from "../peer/fleet.js"
 import {estimateMemory} from "../pipelines/footprint.js"
 import type {PipelineJob} from "../pipelines/model.js"
-import type {KeyCondition, KeyValueStore} from "../pipelines/ports.js"
+import type {KeyValueStore} from "../pipelines/ports.js"
 import type {ShownState} from "./jobtable.js"
 import type {Leadership} from "./leadership.js"
 import type {Planner} from "./planner.js"
@@ -21,6 +21,7 @@
   LEADER_KEY,
   parseProgress,
   progressKey,
+  unstoredConditions,
 } from "./records.js"
 
 export type SubmitAnswer =
@@ -85,14 +86,6 @@
 /** Timeout of the notification that tells the leader about a job or a cancellation that is already stored. */
 const NOTIFY_TIMEOUT_MS: Milliseconds = 1000
 
-/** The conditions under which nothing has been stored of a job. */
-function isUnstored(job: string): readonly KeyCondition[] {
-  return [
-    {key: jobKey(job), revision: 0},
-    {key: progressKey(job), revision: 0},
-  ]
-}
-
 export function createIntake(ports: IntakePorts): Intake {
   const {clock, log, store, clients, leadership, planner, loads} = ports
   /** Memory of the jobs that were stored without the leader since it last stored one. */
@@ -147,7 +140,7 @@
     directBytes += memory
     const record = formatJob(job)
     const result = await store.commit({
-      conditions: isUnstored(job.id),
+      conditions: unstoredConditions(job.id),
       writes: [{key: jobKey(job.id), value: record}],
       removals: [],
     })
@@ -253,7 +246,7 @@
    */
   async function withdraw(job: string): Promise<CancelOutcome> {
     const result = await store.commit({
-      conditions: isUnstored(job),
+      conditions: unstoredConditions(job),
       writes: [{key: progressKey(job), value: formatWithdrawal(clock.wallClock())}],
       removals: [],
     })
--- a/src/planner/ledger.ts
+++ b/src/planner/ledger.ts
@@ -11,7 +11,15 @@
 import type {KeyValueStore, StoredItem} from "../pipelines/ports.js"
 import type {LedgerWrite, PendingWrite} from "./ledgerbatch.js"
 import {chooseWrites, REJECTED_RETRY_MS} from "./ledgerbatch.js"
-import {cancelKey, formatJob, formatProgress, jobKey, LEADER_KEY, progressKey} from "./records.js"
+import {
+  cancelKey,
+  formatJob,
+  formatProgress,
+  jobKey,
+  LEADER_KEY,
+  progressKey,
+  unstoredConditions,
+} from "./records.js"
 
 /** Pause after a failed commit, so that retries do not overload a store that is down. */
 const RETRY_MS: Milliseconds = 120
@@ -127,10 +135,7 @@
     return {
       subject: id,
       transaction: {
-        conditions: [
-          {key: jobKey(id), revision: 0},
-          {key: progressKey(id), revision: 0},
-        ],
+        conditions: unstoredConditions(id),
         writes: [{key: jobKey(id), value: formatJob(entry.job)}],
         removals: [],
       },
--- a/src/planner/records.ts
+++ b/src/planner/records.ts
@@ -1,5 +1,6 @@
 /** The keys that instances keep in the store, and the JSON encoding of their values. */
 import type {PipelineJob} from "../pipelines/model.js"
+import type {KeyCondition} from "../pipelines/ports.js"
 import type {Progress} from "../pipelines/progress.js"
 import {NO_PROGRESS} from "../pipelines/progress.js"
 import type {WorkerListing} from "../pipelines/model.js"
@@ -35,6 +36,14 @@
   return `${PROGRESS_PREFIX}${job}`
 }
 
+/** The conditions that nothing is stored of a job, neither its record nor any progress. */
+export function unstoredConditions(job: string): readonly KeyCondition[] {
+  return [
+    {key: jobKey(job), revision: 0},
+    {key: progressKey(job), revision: 0},
+  ]
+}
+
 /** Key of a cancel request, written by an instance that cannot reach the leader. */
 export function cancelKey(job: string): string {
   return `${CANCEL_PREFIX}${job}`
