A worker of another system ends no leader's term

Cause: a refusal was believed without asking the store, which alone says who leads.

Change: a leader whose term is refused extends no lease and starts nothing until the store has answered, for 0.4 s at most. If it names another leader, or does not answer, the term ends as before. If it confirms the term, the worker is excluded (worker-excluded) until it has restarted.

--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -4,6 +4,7 @@
  * loses leadership.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
+import {withTimeout} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
 import type {FleetConfiguration, PipelineJob, Queue} from "../pipelines/model.js"
 import type {FleetReader, KeyChange, KeyValueStore, StoredItem, WorkerCalls} from "../pipelines/ports.js"
@@ -44,7 +45,7 @@
 } from "./records.js"
 import {createReportReader} from "./reports.js"
 import type {WorkRead} from "./reports.js"
-import type {ActiveJob, Assignment} from "./state.js"
+import type {ActiveJob, Assignment, WorkerState} from "./state.js"
 import {openDueOccurrences, release} from "./state.js"
 import {openWorkerLink} from "./workerlink.js"
 import type {WorkerLinkEvents} from "./workerlink.js"
@@ -103,6 +104,8 @@
 const CONFIRMATION_SHARE = 1 / 3
 /** Poll interval of the worker entries, well within the two seconds in which a drain must take effect. */
 const WORKER_POLL_MS: Milliseconds = 350
+/** How long a leader whose term a worker refuses waits for the store; a slow but working store answers within 0.35 s. */
+const TERM_CHECK_TIMEOUT_MS: Milliseconds = 400
 /** Poll interval of jobs and cancellations that other instances have stored directly. */
 const WORK_POLL_MS: Milliseconds = 1000
 
@@ -124,6 +127,8 @@
   let memoryBeingStored = 0
   /** Jobs whose records are being written, each with the answer to its submission. */
   const jobsBeingStored = new Map<string, Promise<StoreAnswer>>()
+  /** Workers that have refused this term, while the store is asked whether there is a later one. */
+  const refusingWorkers = new Set<WorkerState>()
   /** Jobs with a stored cancellation that are not known yet. */
   const earlyCancellations = new Set<string>()
 
@@ -181,7 +186,7 @@
       barrier.remove(worker)
       pool.removeReplaced(worker)
     },
-    onSuperseded: handleSuperseded,
+    onTermRefused: worker => void handleTermRefused(worker),
     onStartAnswer: (assignment, answer, mayHaveRun) => starter.handleAnswer(assignment, answer, mayHaveRun),
     onNotSent: assignment => starter.handleNotSent(assignment),
   }
@@ -287,7 +292,7 @@
     isClosed: () => isClosed,
     releaseAssignment,
     onReplaced: events.onReplaced,
-    onSuperseded: handleSuperseded,
+    onTermRefused: events.onTermRefused,
     schedulePass,
   })
 
@@ -297,7 +302,27 @@
 
   /** False when another instance may have become leader without this one knowing. */
   function mayAct(): boolean {
-    return !isClosed && unconfirmedFor() < unconfirmedLimit(followers.isFollowed)
+    if (isClosed || refusingWorkers.size > 0) return false
+    return unconfirmedFor() < unconfirmedLimit(followers.isFollowed)
+  }
+
+  /**
+   * A worker refuses this term if it knows a later leader, or if another system gives it orders. The store tells which:
+   * while this instance leads, no leader of this system can have had a higher term.
+   */
+  async function handleTermRefused(worker: WorkerState): Promise<void> {
+    const isChecking = refusingWorkers.size > 0
+    refusingWorkers.add(worker)
+    if (isChecking) return
+    const read = await withTimeout(clock, store.read(LEADER_KEY), TERM_CHECK_TIMEOUT_MS, undefined)
+    if (isClosed) return
+    if (!read?.isOk() || read.value?.revision !== term) {
+      handleSuperseded()
+      return
+    }
+    for (const refusing of refusingWorkers) pool.exclude(refusing)
+    refusingWorkers.clear()
+    schedulePass()
   }
 
   /** Lets tasks start elsewhere whose leases have expired. */
@@ -323,7 +348,7 @@
 
   function runPass(): void {
     isPassScheduled = false
-    if (isClosed || !isLoaded) return
+    if (isClosed || !isLoaded || refusingWorkers.size > 0) return
     passes += 1
     for (const active of jobs.active.values()) openDueOccurrences(active, clock.wallClock())
     const passStartedAt = clock.now()
--- a/src/planner/starting.ts
+++ b/src/planner/starting.ts
@@ -30,7 +30,8 @@
   /** Removes an assignment whose run is known not to be on the worker. */
   readonly releaseAssignment: (assignment: Assignment) => void
   readonly onReplaced: (worker: WorkerState) => void
-  readonly onSuperseded: () => void
+  /** The worker has seen a higher term than this leader's. */
+  readonly onTermRefused: (worker: WorkerState) => void
   readonly schedulePass: () => void
 }
 
@@ -73,7 +74,7 @@
       "worker refused to start a task",
     )
     if (reason === "superseded") {
-      context.onSuperseded()
+      context.onTermRefused(worker)
       return
     }
     if (reason === "old" && assignment.confirmedAt === undefined) {
--- a/src/planner/workerlink.ts
+++ b/src/planner/workerlink.ts
@@ -38,7 +38,8 @@
   readonly onUnreachable: (worker: WorkerState) => void
   /** Another worker answers at the address, so the addressed one is gone. */
   readonly onReplaced: (worker: WorkerState) => void
-  readonly onSuperseded: () => void
+  /** The worker has seen a higher term than this leader's. */
+  readonly onTermRefused: (worker: WorkerState) => void
   /** With `mayHaveRun`, an earlier try of the order got no answer and may have been carried out. */
   readonly onStartAnswer: (assignment: Assignment, answer: StartAnswer, mayHaveRun: boolean) => void
   /** The order is known not to have reached the worker. */
@@ -104,7 +105,7 @@
   /** Returns whether polling continues. */
   async function handleReport(answer: ReportAnswer, sentAt: Milliseconds): Promise<boolean> {
     if (answer.type === "superseded") {
-      events.onSuperseded()
+      events.onTermRefused(worker)
       return false
     }
     if (answer.type === "replaced") {
@@ -163,7 +164,7 @@
     while (assignment.phase === "stopping" && !worker.isClosed) {
       const answer = await calls.stop(target(), assignment.task, assignment.attempt, term)
       if (answer.isOk()) {
-        if (answer.value === "superseded") events.onSuperseded()
+        if (answer.value === "superseded") events.onTermRefused(worker)
         else if (answer.value === "replaced") events.onReplaced(worker)
         else assignment.stopConfirmedAt = clock.now()
         return
--- a/src/planner/workerpool.ts
+++ b/src/planner/workerpool.ts
@@ -27,6 +27,8 @@
   readonly onList: (items: readonly StoredItem[]) => void
   /** Handles changed worker entries. */
   readonly onChanges: (changes: readonly KeyChange[]) => void
+  /** Gives a worker no tasks and no calls any more, because it takes orders of another system. */
+  readonly exclude: (worker: WorkerState) => void
   /** Removes a worker because another one answers at its address. */
   readonly removeReplaced: (worker: WorkerState) => void
   /** Adds listed workers whose service is used only now. */
@@ -108,6 +110,12 @@
       else ignoreListing(listing)
       return
     }
+    // A worker that was excluded may have restarted for this system.
+    if (known.isClosed && known.assignments.size === 0 && listing.bornAt !== known.listing.bornAt) {
+      forget(known)
+      addListed(listing)
+      return
+    }
     if (listing.leaving && !known.listing.leaving)
       log.info({event: "worker-leaving", worker: listing.id}, "worker is leaving and gets no new tasks")
     // After a restart under the same name, an entry of the previous incarnation may still arrive. What the worker
@@ -213,6 +221,14 @@
         onChange()
       }
     },
+    exclude(worker) {
+      log.error(
+        {event: "worker-excluded", worker: worker.listing.id, address: worker.listing.address},
+        "a worker refuses the term of the present leader, so that it must take orders of another system",
+      )
+      worker.isReachable = false
+      links.get(worker)?.close()
+    },
     removeReplaced(worker) {
       log.warn(
         {event: "worker-replaced", worker: worker.listing.id},
--- a/test/fleet/starting.test.ts
+++ b/test/fleet/starting.test.ts
@@ -31,7 +31,7 @@
     isClosed: () => false,
     releaseAssignment: release,
     onReplaced: noOp,
-    onSuperseded: noOp,
+    onTermRefused: noOp,
     schedulePass: noOp,
   })
 }
@@ -84,7 +84,7 @@
       onReport: () => Promise.resolve(),
       onUnreachable: noOp,
       onReplaced: noOp,
-      onSuperseded: noOp,
+      onTermRefused: noOp,
       onStartAnswer: (_assignment, answer, mayHaveRun) => void seen.push({answer, mayHaveRun}),
       onNotSent: noOp,
     },
@@ -138,7 +138,7 @@
       onReport: () => Promise.resolve(),
       onUnreachable: noOp,
       onReplaced: noOp,
-      onSuperseded: noOp,
+      onTermRefused: noOp,
       onStartAnswer: noOp,
       onNotSent: noOp,
     },
@@ -170,7 +170,7 @@
     isClosed: () => false,
     releaseAssignment: release,
     onReplaced: noOp,
-    onSuperseded: noOp,
+    onTermRefused: noOp,
     schedulePass: noOp,
   })
   starter.requestAdvice(run, {...QUEUE, advice: {base: 20, perWorker: 10, ticketLife: 1500}}, ["worker-1"])
--- a/test/fleet/workerentries.test.ts
+++ b/test/fleet/workerentries.test.ts
@@ -128,6 +128,41 @@
   t.deepEqual(fleet.store.rejections(), [])
 })
 
+// Each leader took the refusal for that of a later leader's worker and ended its term, so that no job was started.
+test("a worker that takes orders of another system ends no term, and is used once it has restarted", async t => {
+  const fleet = testFleet({workers: 2})
+  const foreign = listingOf("foreign")
+  fleet.workers.addWorker(foreign)
+  const otherSystem = fleet.workers.callsFor("another system")
+  const order = {term: 1e9, acknowledged: 0, incarnation: 0, deadline: undefined, wait: 0}
+  void otherSystem.report(foreign, order)
+  await fleet.clock.advance(1000)
+  fleet.register(foreign)
+  const submitAndFinish = async (number: number): Promise<void> => {
+    const job = jobOf(number, [{count: 40}])
+    t.is((await fleet.submit("entry-1", job)).type, "stored")
+    await fleet.clock.advance(6000)
+    t.is(await fleet.stateAt(fleet.leader() ?? "", job), "completed")
+  }
+  await submitAndFinish(6)
+  const countTerms = (): number => fleet.logLines.filter(({event}) => event === "leading").length
+  t.is(countTerms(), 1)
+  fleet.kill(fleet.leader() ?? "")
+  await fleet.clock.advance(1000)
+  await submitAndFinish(7)
+  t.is(countTerms(), 2)
+  const startsThere = (): number =>
+    fleet.logLines.filter(({event, fields}) => event === "start" && fields.worker === "foreign").length
+  t.is(startsThere(), 0)
+  fleet.workers.crash("foreign")
+  fleet.workers.restart("foreign")
+  fleet.register(fleet.workers.listing("foreign"))
+  await fleet.clock.advance(1000)
+  await submitAndFinish(8)
+  t.true(startsThere() > 0)
+  t.deepEqual(fleet.workers.violations(), [])
+})
+
 // The leader went on with the entry of the worker's former life, which could not change while the store was down.
 test("a worker that restarts with less capacity while the store is down is given no more than it has", async t => {
   const fleet = testFleet({workers: 2, planOf: () => ({demand: STEP.demand, duration: 1000})})
--- a/test/guards/guards.ts
+++ b/test/guards/guards.ts
@@ -998,4 +998,12 @@
     test: "fleet/workerentries.test.js",
     match: "a worker that restarts with less capacity*",
   },
+  {
+    name: "a worker's refusal ends a term only if the store does not confirm it",
+    file: "planner/planner.js",
+    find: "if (!read?.isOk() || read.value?.revision !== term)",
+    replace: "if (true)",
+    test: "fleet/workerentries.test.js",
+    match: "a worker that takes orders of another system*",
+  },
 ]
