Records of several leaders with many followers stay within what the store takes

Fifteen leaders of a fleet of 7,000 instances come to over 2 MB, so that no claim would be stored.

Change: over 512 KB, the followers of earlier leaders are left out. Such a leader counts as acting until its longest time limit has passed, as one whose followers were never known.

Result: the new test fails without the limit by the length of the records.

--- a/src/planner/records.ts
+++ b/src/planner/records.ts
@@ -120,6 +120,9 @@
   readonly usedServices?: UsedServices | undefined
 }
 
+/** Well below the limit of the store for a value. Several leaders with thousands of followers each take more. */
+const MAX_RECORD_BYTES = 512 * 2 ** 10
+
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text) as unknown
@@ -166,8 +169,19 @@
   return hasFields(value, "done", "failures", "writtenAt") ? (value as ProgressRecord) : undefined
 }
 
+/** Without its followers, an earlier leader counts as acting until the longest time limit has passed. */
+function omitFollowing<T extends Pick<FormerTerm, "earlierLeaders">>(record: T): T {
+  return {...record, earlierLeaders: record.earlierLeaders?.map(({name, term}) => ({name, term}))}
+}
+
+function isTooLong(text: string): boolean {
+  return Buffer.byteLength(text) > MAX_RECORD_BYTES
+}
+
 export function formatLeader(leader: LeaderRecord): string {
-  return JSON.stringify(leader)
+  const text = JSON.stringify(leader)
+  if (!leader.former || !isTooLong(text)) return text
+  return JSON.stringify({...leader, former: omitFollowing(leader.former)})
 }
 
 export function parseLeader(text: string): LeaderRecord | undefined {
@@ -187,7 +201,8 @@
 }
 
 export function formatTerm(record: TermRecord): string {
-  return JSON.stringify(record)
+  const text = JSON.stringify(record)
+  return isTooLong(text) ? JSON.stringify(omitFollowing(record)) : text
 }
 
 export function parseTerm(text: string): TermRecord | undefined {
--- a/test/fleet/earlierleaders.test.ts
+++ b/test/fleet/earlierleaders.test.ts
@@ -85,3 +85,23 @@
     findEarlierLeaders(readStoredWork([first])),
   ])
 })
+
+// Records of several leaders of thousands of instances would have outgrown the store, so that nobody could have led.
+test("the followers of earlier leaders are left out where a record would be too long, and those leaders count as acting", t => {
+  const names = Array.from({length: 7000}, (_, index) => `edge-cascadia-a-${index}`)
+  const earlierLeaders = Array.from({length: 15}, (_, index) => ({
+    name: `leader-${index}`,
+    term: index + 1,
+    following: {names, missable: 1750},
+  }))
+  const record = recordOf({term: 20, earlierLeaders, followers: names})
+  const claim = claimOf("entry-3", 30, {term: 20, leader: "entry-2", earlierLeaders})
+  for (const {value} of [record, claim]) t.true(value.length < 2 ** 19, `${value.length} bytes`)
+  const found = findEarlierLeaders(readStoredWork([claim, record])) ?? []
+  t.is(found.length, 16)
+  t.deepEqual(
+    found.slice(0, 15).map(({following}) => following),
+    Array.from({length: 15}, () => undefined),
+  )
+  t.is(found.at(-1)?.following?.names.length, 7000)
+})
