The soak's callers leave and cancel before their submissions are answered

Every eighth caller cancels its job 0.3 s after handing it in, and repeats that until it is answered. No task of a job may start later than the bound on a cancelling, and the time for which a late order can still be carried out, after the answer. That is checked for the other cancellings too, which are now also repeated without an answer.

--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -13,6 +13,10 @@
   /** An answer left open whether the job is stored. */
   doubtful: boolean
   cancelled: boolean
+  /** The caller cancelled the job before its submission was answered, so that it may be unknown ever after. */
+  left: boolean
+  /** Starts of its tasks when the bound on a cancelling had passed; undefined unless the cancelling was answered. */
+  startsBeforeBound: number | undefined
 }
 
 export interface Callers {
@@ -26,6 +30,8 @@
   /** The state of a job as the instance tells it, or the status where it tells none. */
   readonly stateAt: (instance: SoakInstance, job: SoakJob) => Promise<string>
   readonly taskNames: (job: SoakJob) => readonly string[]
+  /** How often tasks of the job have started. */
+  readonly countStarts: (job: SoakJob) => number
 }
 
 interface Reply {
@@ -45,6 +51,13 @@
 const TRIES = 4
 const CALLERS = 6
 const CANCEL_SHARE = 0.1
+/** Each of this many jobs is cancelled before its submission is answered. */
+const LEAVING_EVERY = 8
+const LEAVE_AFTER_MS: Milliseconds = 300
+/** No task is started this long after its job's cancelling was answered, as the platform asks. */
+const CANCEL_BOUND_MS: Milliseconds = 3000
+/** A worker may carry an order out late, until the lease that comes with it has run out. */
+const LATE_ORDER_MS: Milliseconds = 4000
 const MOST_TASKS = 5
 const ID_DIGITS = 16
 
@@ -140,13 +153,38 @@
     }
   }
 
+  function countStarts(job: SoakJob): number {
+    const counts = workers.startCounts()
+    return taskNames(job).reduce((sum, task) => sum + (counts.get(task) ?? 0), 0)
+  }
+
+  async function cancel(job: SoakJob): Promise<void> {
+    job.cancelled = true
+    for (let attempt = 0; attempt < TRIES && !stopped; attempt += 1) {
+      const reply = await call(pickInstance(), "DELETE", PREFIX + job.id, "")
+      if (reply?.status === 200 || reply?.status === 410) {
+        const record = (): void => void (job.startsBeforeBound = countStarts(job))
+        setTimeout(record, CANCEL_BOUND_MS + LATE_ORDER_MS).unref()
+        return
+      }
+      await pause(300)
+    }
+  }
+
+  /** Cancels the job while its submission is under way. */
+  async function leave(job: SoakJob): Promise<void> {
+    job.left = true
+    await pause(LEAVE_AFTER_MS)
+    await cancel(job)
+  }
+
   async function stateAt(instance: SoakInstance, job: SoakJob): Promise<string> {
     const askedAt = performance.now()
     const known = job.acceptedAt !== undefined && askedAt - job.acceptedAt > VISIBLE_MS
     const reply = await call(instance, "GET", PREFIX + job.id, "")
     if (!reply) return "no answer"
     if (reply.status !== 200) {
-      if (reply.status === 410 && known) faults.push(`${instance.name} does not know ${job.id}`)
+      if (reply.status === 410 && known && !job.left) faults.push(`${instance.name} does not know ${job.id}`)
       return String(reply.status)
     }
     const state = String((JSON.parse(reply.text) as {readonly State?: unknown}).State)
@@ -160,19 +198,18 @@
   function createJob(): SoakJob {
     const id = Array.from({length: ID_DIGITS}, () => random.below(ID_DIGITS).toString(ID_DIGITS)).join("")
     const steps = Array.from({length: 1 + random.below(2)}, () => 1 + random.below(MOST_TASKS))
-    const job: SoakJob = {id, steps, acceptedAt: undefined, doubtful: false, cancelled: false}
+    const open = {acceptedAt: undefined, doubtful: false, startsBeforeBound: undefined}
+    const job: SoakJob = {id, steps, ...open, cancelled: false, left: false}
     jobs.push(job)
     return job
   }
 
   async function useOne(): Promise<void> {
     const job = createJob()
-    await submit(job)
+    const isLeaving = jobs.length % LEAVING_EVERY === 0
+    await Promise.all([submit(job), isLeaving ? leave(job) : undefined])
     if (job.acceptedAt === undefined) return
-    if (random.next() < CANCEL_SHARE) {
-      job.cancelled = true
-      await call(pickInstance(), "DELETE", PREFIX + job.id, "")
-    }
+    if (random.next() < CANCEL_SHARE && !isLeaving) await cancel(job)
     await pause(random.below(900))
     await stateAt(pickInstance(), job)
   }
@@ -203,6 +240,7 @@
     },
     stateAt,
     taskNames,
+    countStarts,
   }
 }
 
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -184,14 +184,15 @@
 /** Waits until every accepted job has ended as every instance sees it. Gives those that have not. */
 async function settle(world: World, callers: Callers): Promise<readonly string[]> {
   const until = performance.now() + SETTLE_LIMIT_MS
-  const isOver = (state: string): boolean => state === "completed" || state === "cancelled"
+  const isOver = (job: SoakJob, state: string): boolean =>
+    state === "completed" || state === "cancelled" || (job.left && state === "410")
   let open: readonly SoakJob[] = callers.jobs.filter(job => job.acceptedAt !== undefined)
   while (open.length > 0 && performance.now() < until) {
     for (const instance of world.instances) instance.start()
     const states = await Promise.all(
       open.map(async job => Promise.all(world.instances.map(instance => callers.stateAt(instance, job)))),
     )
-    open = open.filter((_, index) => !(states[index] ?? []).every(isOver))
+    open = open.filter((job, index) => !(states[index] ?? []).every(state => isOver(job, state)))
     await pause(SETTLE_POLL_MS)
   }
   return open.map(job => `${job.id} was accepted and has not ended`)
@@ -205,6 +206,8 @@
     const refused = job.acceptedAt === undefined && !job.doubtful
     if (refused && tasks.some(task => workers.startCounts().has(task)))
       found.push(`${job.id} was refused and ran`)
+    if (job.startsBeforeBound !== undefined && callers.countStarts(job) > job.startsBeforeBound)
+      found.push(`${job.id} was cancelled and started later`)
     if (job.cancelled && tasks.some(task => workers.running().includes(task)))
       found.push(`${job.id} was cancelled and runs`)
   }
