Workspaces of the configuration and the settings of keys and placement are read

Cause: the decoder read routes, services and limits, and dropped the workspaces, which queues are public, and the bounds of withdrawn keys; the settings named neither the machine's memory nor the cost of a remote place. Change: types and decoding only. Nothing uses them yet; a configuration without workspaces leaves all queues public.

--- a/src/pipelines/model.ts
+++ b/src/pipelines/model.ts
@@ -67,6 +67,8 @@
   readonly latencyTarget: Milliseconds
   /** Undefined for a queue whose tasks need no tickets. */
   readonly advice: AdviceTerms | undefined
+  /** Calls need no key of a workspace. Undefined in the records of earlier versions. */
+  readonly isPublic?: boolean | undefined
 }
 
 /** A job as accepted. It is stored once, as JSON, and never changed. */
@@ -85,6 +87,8 @@
   readonly interval: Milliseconds
   /** Wall-clock time of acceptance, in milliseconds since the Unix epoch. */
   readonly acceptedAt: number
+  /** Name of the workspace that submitted the job. Undefined for jobs without one and in records of earlier versions. */
+  readonly workspace?: string | undefined
 }
 
 /** A service: the pool of workers that run the jobs of its queues. */
@@ -96,11 +100,24 @@
   readonly standby: boolean
 }
 
+/** A user of a shared deployment, with its share of the workers. */
+export interface Workspace {
+  readonly name: string
+  /** The keys that calls of the workspace carry. They are secrets. */
+  readonly keys: readonly string[]
+  /** Share relative to that of other workspaces when there is too little for all; above 0. */
+  readonly weight: number
+  /** Upper limit for what its tasks occupy on all workers together; 0 stands for no limit in that dimension. */
+  readonly limit: Resources
+}
+
 /** The operator's configuration. A higher version replaces a lower one. */
 export interface FleetConfiguration {
   readonly version: number
   readonly queues: readonly Queue[]
   readonly services: readonly Service[]
+  /** Empty where the deployment has no workspaces. */
+  readonly workspaces: readonly Workspace[]
   /** Maximum size of a request body, in bytes. */
   readonly bodyLimit: number
 }
--- a/src/platform/fleetreader.ts
+++ b/src/platform/fleetreader.ts
@@ -5,7 +5,14 @@
  */
 import {isIPv4} from "node:net"
 import type {Resources} from "../core/resources.js"
-import type {AdviceTerms, FleetConfiguration, Queue, Service, WorkerListing} from "../pipelines/model.js"
+import type {
+  AdviceTerms,
+  FleetConfiguration,
+  Queue,
+  Service,
+  WorkerListing,
+  Workspace,
+} from "../pipelines/model.js"
 import type {FleetReader} from "../pipelines/ports.js"
 import type {JsonObject} from "./wire.js"
 import {asBoolean, asArray, asNumber, asObject, asString, parseJson, readResources} from "./wire.js"
@@ -93,7 +100,7 @@
   }
 }
 
-function readQueue(fields: JsonObject): Queue {
+function readQueue(fields: JsonObject, hasWorkspaces: boolean): Queue {
   return {
     name: asString(fields.Name),
     host: asString(fields.Host),
@@ -104,6 +111,7 @@
     slackFactor: asNumber(fields.SlackFactor, 1),
     latencyTarget: asNumber(fields.TargetLatencyMs),
     advice: readAdvice(fields.Advice),
+    isPublic: !hasWorkspaces || asBoolean(fields.Public),
   }
 }
 
@@ -115,13 +123,26 @@
   }
 }
 
+/** Without a weight, a workspace has the share of one with weight 1. */
+function readWorkspace(fields: JsonObject): Workspace {
+  const weight = asNumber(fields.Weight, 1)
+  return {
+    name: asString(fields.Name),
+    keys: asArray(fields.ApiKeys).filter(isString),
+    weight: weight > 0 ? weight : 1,
+    limit: readResources(fields.MaxCount),
+  }
+}
+
 function decodeConfiguration(value: string): FleetConfiguration | undefined {
   const fields = asObject(parseJson(value))
   if (typeof fields.Version !== "number" || !Array.isArray(fields.Routes)) return undefined
+  const hasWorkspaces = Array.isArray(fields.Tenants)
   return {
     version: fields.Version,
-    queues: asArray(fields.Routes).map(route => readQueue(asObject(route))),
+    queues: asArray(fields.Routes).map(route => readQueue(asObject(route), hasWorkspaces)),
     services: asArray(fields.Services).map(service => readService(asObject(service))),
+    workspaces: asArray(fields.Tenants).map(workspace => readWorkspace(asObject(workspace))),
     bodyLimit: asNumber(asObject(fields.Limits).MaxBodyBytes, DEFAULT_BODY_LIMIT_BYTES),
   }
 }
--- a/src/settings/fleetsettings.ts
+++ b/src/settings/fleetsettings.ts
@@ -37,6 +37,17 @@
   readonly stopGrace: Milliseconds
   /** Processors that the instance may use, scaled by their speed relative to a typical processor. */
   readonly processors: number
+  /** Memory that the process may take, in MiB; 0 if it is not known. */
+  readonly memoryMebibytes: number
+  /** File descriptors that the process may open; 0 if it is not known. */
+  readonly descriptors: number
+  /**
+   * After this time no call with a withdrawn key may succeed anywhere; 0 where a withdrawn key may be honoured while
+   * the instance cannot know.
+   */
+  readonly withdrawalLimit: Milliseconds
+  /** How many times as long a task takes on another rack than its data, or than the other tasks of its step. */
+  readonly remoteFactor: number
   readonly logLevel: "debug" | "info" | "warn" | "error"
 }
 
@@ -49,6 +60,8 @@
   "limits",
   "logs",
   "metrics",
+  "keys",
+  "placement",
 ])
 /** Every known kind of worker grants a lease of this length. */
 const DEFAULT_LONGEST_LEASE_MS: Milliseconds = 6000
@@ -57,11 +70,27 @@
 const DEFAULT_STORED_VALUE_BYTES = 2 ** 20
 const MAX_STORED_VALUE_BYTES = 2 ** 30
 const DEFAULT_STOP_GRACE_MS: Milliseconds = 6000
+/** The shortest limit of the known platforms that have one. */
+const DEFAULT_WITHDRAWAL_LIMIT_MS: Milliseconds = 5000
+const MAX_AMOUNT = 1e9
+const MAX_REMOTE_FACTOR = 1000
 
 /** An empty text stands for the default, since not every platform fills in the limit. */
 const storedValueLength: FieldParser<number> = value =>
   value === "" ? ok(DEFAULT_STORED_VALUE_BYTES) : integer(1, MAX_STORED_VALUE_BYTES)(value)
 
+/** Accepts an empty text as the fallback, since a platform may have no such value. */
+function ifGiven<T>(parser: FieldParser<T>, fallback: T): FieldParser<T> {
+  return value => (value === "" ? ok(fallback) : parser(value))
+}
+
+const amount = ifGiven(decimal(0, MAX_AMOUNT), 0)
+const factorIfGiven = ifGiven(decimal(0, MAX_REMOTE_FACTOR), 1)
+const spanIfGiven: FieldParser<Milliseconds> = value =>
+  value === "ms" ? ok(DEFAULT_WITHDRAWAL_LIMIT_MS) : duration(value)
+const flag: FieldParser<boolean> = value =>
+  ifGiven(oneOf("true", "false"), "false")(value).map(text => text === "true")
+
 /** Accepts any text, including an empty one. */
 const anyText = (value: string): Result<string, never> => ok(value)
 
@@ -91,6 +120,12 @@
     processors:
       fields.optional("limits", "processor_share", decimal(0, MAX_PROCESSORS), 1) *
       fields.optional("limits", "processor_speed", decimal(0, MAX_PROCESSORS), 1),
+    memoryMebibytes: fields.optional("limits", "memory", amount, 0),
+    descriptors: fields.optional("limits", "descriptors", amount, 0),
+    withdrawalLimit: fields.optional("keys", "strict_withdrawal", flag, false)
+      ? fields.optional("keys", "withdrawal_limit", spanIfGiven, DEFAULT_WITHDRAWAL_LIMIT_MS)
+      : 0,
+    remoteFactor: Math.max(1, fields.optional("placement", "remote_factor", factorIfGiven, 1)),
     logLevel: fields.optional("logs", "level", oneOf("debug", "info", "warn", "error"), "info"),
   }
   for (const section of ini.sections.keys()) {
--- a/test/fleet/daemon.test.ts
+++ b/test/fleet/daemon.test.ts
@@ -87,6 +87,11 @@
     "longest_lease",
     "stored_value",
     "stop_grace",
+    "memory",
+    "descriptors",
+    "strict_withdrawal",
+    "withdrawal_limit",
+    "remote_factor",
   ])
     t.regex(template, new RegExp(`^${key} = `, "m"))
 })
--- a/test/platform/calls.test.ts
+++ b/test/platform/calls.test.ts
@@ -383,7 +383,13 @@
 })
 
 test("clients are answered by what the instance says of the job", async t => {
-  const configuration: FleetConfiguration = {version: 1, queues: [QUEUE], services: [], bodyLimit: 400}
+  const configuration: FleetConfiguration = {
+    version: 1,
+    queues: [QUEUE],
+    services: [],
+    workspaces: [],
+    bodyLimit: 400,
+  }
   const intake: Intake = {
     submit: ({id}) =>
       Promise.resolve(
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -245,3 +245,44 @@
   )
   t.snapshot(malformed._unsafeUnwrapErr())
 })
+
+test("workspaces are read with their keys, weights and limits, and close the queues that are not public", t => {
+  const [route = {}] = CONFIGURATION.Routes
+  const decoded = FLEET_READER.decodeConfiguration(
+    JSON.stringify({
+      ...CONFIGURATION,
+      Routes: [route, {...route, Public: true}],
+      Tenants: [
+        {Name: "guild", ApiKeys: ["k-1", 7, "k-2"], Weight: 25, MaxCount: {Cpu: 1500, MemMb: 100, Gpu: 2}},
+        {Name: "club", ApiKeys: "k-3", Weight: -1},
+      ],
+    }),
+  )
+  t.deepEqual(
+    decoded?.queues.map(queue => queue.isPublic),
+    [false, true],
+  )
+  t.snapshot(decoded?.workspaces)
+})
+
+test("settings of keys and placement are optional, and may be filled in without a value", t => {
+  const limits = `${SETTINGS}memory = 210\ndescriptors = 3075\n`
+  const strict =
+    "[keys]\nstrict_withdrawal = true\nwithdrawal_limit = 4000ms\n[placement]\nremote_factor = 1.5\n"
+  const empty = "[keys]\nstrict_withdrawal =\nwithdrawal_limit = ms\n[placement]\nremote_factor =\n"
+  const read = [limits + strict, limits + strict.replace("true", "false"), SETTINGS + empty, SETTINGS].map(
+    text => {
+      const {memoryMebibytes, descriptors, withdrawalLimit, remoteFactor} = readFleetSettings(
+        "a.ini",
+        text,
+      )._unsafeUnwrap()
+      return {memoryMebibytes, descriptors, withdrawalLimit, remoteFactor}
+    },
+  )
+  t.deepEqual(read, [
+    {memoryMebibytes: 210, descriptors: 3075, withdrawalLimit: 4000, remoteFactor: 1.5},
+    {memoryMebibytes: 210, descriptors: 3075, withdrawalLimit: 0, remoteFactor: 1.5},
+    {memoryMebibytes: 0, descriptors: 0, withdrawalLimit: 0, remoteFactor: 1},
+    {memoryMebibytes: 0, descriptors: 0, withdrawalLimit: 0, remoteFactor: 1},
+  ])
+})
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -302,6 +302,7 @@
       version,
       queues: options.queues ?? [QUEUE],
       services: [],
+      workspaces: [],
       bodyLimit: 100_000,
       ...configuration,
     }
