--- a/src/core/resources.ts
+++ b/src/core/resources.ts
@@ -36,6 +36,11 @@
   }
 }
 
+/** Returns whether there is nothing of any resource, apart from rounding errors. */
+export function isNothing({processors, memoryMebibytes, accelerators}: Resources): boolean {
+  return Math.max(processors, memoryMebibytes, accelerators) <= ROUNDING_TOLERANCE
+}
+
 /** Returns whether the demand fits into the free resources in every dimension. */
 export function fits(demand: Resources, free: Resources): boolean {
   return (
--- a/src/planner/capacityreserver.ts
+++ b/src/planner/capacityreserver.ts
@@ -39,17 +39,16 @@
 /** Capacity is withheld only while at least this share of a service's processors is in use. */
 const BUSY_SHARE = 0.5
 
-/** The number of waiting tasks of the step that may start without using the headroom of the most urgent queue. */
+/** How many of the startable tasks may start without using the headroom of the most urgent queue. */
 export function limitStarts(open: OpenStep, reserved: ReservedCapacity): number {
-  const {run, queue} = open
+  const {run, queue, startable} = open
   const {step} = run
   const urgent = reserved.urgentPriorities.get(queue.service) ?? queue.priority
-  if (!reserved.busyServices.has(queue.service)) return run.waiting.size
-  if (queue.priority <= urgent || step.lasting || step.fills || step.demand.processors === 0)
-    return run.waiting.size
+  if (!reserved.busyServices.has(queue.service)) return startable
+  if (queue.priority <= urgent || step.lasting || step.fills || step.demand.processors === 0) return startable
   const spare =
     (reserved.freeProcessors.get(queue.service) ?? 0) - (reserved.headroomProcessors.get(queue.service) ?? 0)
-  return Math.min(run.waiting.size, Math.max(0, Math.floor(spare / step.demand.processors)))
+  return Math.min(startable, Math.max(0, Math.floor(spare / step.demand.processors)))
 }
 
 const NO_CONTENTION: Contention = new Map()
@@ -67,13 +66,13 @@
   const confined: RestrictedStep[] = []
   for (const open of steps) {
     if (confined.length === MAXIMUM_CONFINED_STEPS) break
-    const {run, queue} = open
+    const {run, queue, startable} = open
     if (queue.advice === undefined || run.policyVerdicts.size === 0) continue
     if (!busyServices.has(queue.service)) continue
     const {workers} = index.findGroup(run, queue.service)
     budget.spend(workers.length)
     const allowed = findAllowedWorkers(open, workers).map(({listing}) => listing)
-    confined.push({tasks: run.waiting.size, demand: requiredCapacity(run.step), allowed})
+    confined.push({tasks: startable, demand: requiredCapacity(run.step), allowed})
   }
   return confined
 }
@@ -93,15 +92,15 @@
   index: WorkerIndex,
   budget: WorkBudget,
 ): void {
-  const {run, queue, rank} = open
+  const {run, queue, rank, startable} = open
   if (!reserved.busyServices.has(queue.service) || isTooLate(rank, now)) return
-  if (run.step.fills || limitStarts(open, reserved) < run.waiting.size) return
+  if (run.step.fills || limitStarts(open, reserved) < startable) return
   const before = reserved.reservingSteps.get(queue.name) ?? 0
   if (before >= MAXIMUM_RESERVING_STEPS) return
   reserved.reservingSteps.set(queue.name, before + 1)
   const allowed = findAllowedWorkers(open, workers)
   const held = countTasksByWorker(run)
-  const wanted = run.step.gang ? run.waiting.size : Math.min(MAXIMUM_RESERVED_TASKS, run.waiting.size)
+  const wanted = run.step.gang ? startable : Math.min(MAXIMUM_RESERVED_TASKS, startable)
   budget.spend(workers.length + allowed.length * PLACING_WORK + (allowed.length * wanted) / 8)
   reserved.reservations = reserve(
     reserved.reservations,
@@ -171,11 +170,11 @@
     const {freeProcessors, total} = sumProcessors(pool)
     const use = sumUrgentUse(view, view.urgentPriorities)
     const waitingUse = new Map<string, number>()
-    for (const {run, queue, rank} of steps) {
+    for (const {run, queue, rank, startable} of steps) {
       if (queue.priority !== view.urgentPriorities.get(queue.service) || run.step.lasting) continue
       // Headroom does not help a step that has waited this long, for example because it fits nowhere.
       if (isTooLate(rank, view.now)) continue
-      const demanded = run.waiting.size * run.step.demand.processors
+      const demanded = startable * run.step.demand.processors
       waitingUse.set(queue.service, (waitingUse.get(queue.service) ?? 0) + demanded)
     }
     const headroomProcessors = new Map<string, number>()
--- a/src/planner/jobtable.ts
+++ b/src/planner/jobtable.ts
@@ -10,6 +10,7 @@
 import type {Ledger} from "./ledger.js"
 import type {ActiveJob} from "./state.js"
 import {createActiveJob} from "./state.js"
+import type {RemainingRuns} from "./workspaceuse.js"
 
 /** How long the outcome of an ended job can be queried. The platform requires at least 120 s. */
 const ENDED_JOB_RETENTION_MS: Milliseconds = 150_000
@@ -46,13 +47,16 @@
   readonly queueOf: (job: PipelineJob) => Queue
 }
 
-/** Creates an empty table. `findQueue` looks up a queue of the current configuration by name. */
+/**
+ * Creates an empty table. `findQueue` looks up a queue of the current configuration by name. `onOutcome` is called when a
+ * job ends, and returns what it still occupies, which is recorded with the outcome.
+ */
 export function createJobTable(
   clock: Clock,
   log: Logger,
   ledger: Ledger,
   findQueue: (name: string) => Queue | undefined,
-  onOutcome: (active: ActiveJob) => void,
+  onOutcome: (active: ActiveJob) => RemainingRuns | undefined,
 ): JobTable {
   const active = new Map<string, ActiveJob>()
   const ended = new Map<string, EndedJob>()
@@ -102,11 +106,9 @@
       // A report that changes nothing is acknowledged only when the change before it is stored.
       if (next === progress) return ledger.whenStored(job.id)
       changed.progress = next
-      const stored = ledger.writeProgress(job.id, next)
       const {outcome} = next
-      if (outcome === undefined) return stored
-      onOutcome(changed)
-      return stored.then(() => {
+      if (outcome === undefined) return ledger.writeProgress(job.id, next)
+      return ledger.writeProgress(job.id, next, onOutcome(changed)).then(() => {
         recordEnd(job.id, outcome)
         const took = Math.round(clock.wallClock() - job.acceptedAt)
         log.info({event: "job-ended", job: job.id, queue: job.queue.name, outcome, took}, "a job has ended")
--- a/src/planner/ledger.ts
+++ b/src/planner/ledger.ts
@@ -11,6 +11,7 @@
 import type {KeyValueStore, StoredItem} from "../pipelines/ports.js"
 import type {LedgerWrite, PendingWrite} from "./ledgerbatch.js"
 import {chooseWrites, REJECTED_RETRY_MS} from "./ledgerbatch.js"
+import type {RemainingRuns} from "./workspaceuse.js"
 import {
   cancelKey,
   formatJob,
@@ -45,7 +46,7 @@
 export interface Ledger {
   readonly storeJob: (job: PipelineJob) => Promise<StoredOutcome>
   /** Writes the latest progress of a job. Resolves when this or later progress is stored. */
-  readonly writeProgress: (job: string, progress: Progress) => Promise<void>
+  readonly writeProgress: (job: string, progress: Progress, remaining?: RemainingRuns) => Promise<void>
   /** Resolves when the latest progress of a job is stored; undefined if nothing is pending. */
   readonly whenStored: (job: string) => Promise<void> | undefined
   /** Sets the revision of a key that was read from the store. */
@@ -81,6 +82,8 @@
 
 interface PendingProgress {
   progress: Progress
+  /** What the job still occupies, if it has ended. */
+  remaining: RemainingRuns | undefined
   version: number
   readonly waiters: {readonly version: number; readonly resolve: () => void}[]
 }
@@ -150,13 +153,13 @@
     }
   }
 
-  function prepareProgress(job: string, {progress, version}: PendingProgress): LedgerWrite {
+  function prepareProgress(job: string, {progress, remaining, version}: PendingProgress): LedgerWrite {
     const key = progressKey(job)
     return {
       subject: job,
       transaction: {
         conditions: [{key, revision: revisions.get(key) ?? 0}],
-        writes: [{key, value: formatProgress({...progress, writtenAt: clock.wallClock()})}],
+        writes: [{key, value: formatProgress({...progress, remaining, writtenAt: clock.wallClock()})}],
         removals: progress.outcome === undefined ? [] : [jobKey(job)],
       },
       onCommitted(revision) {
@@ -323,16 +326,17 @@
         commitNext()
       })
     },
-    writeProgress(job, progress) {
+    writeProgress(job, progress, remaining) {
       return new Promise(resolve => {
         lastVersion += 1
         const version = lastVersion
         const known = pendingProgress.get(job)
         if (known) {
           known.progress = progress
+          known.remaining = remaining
           known.version = version
           known.waiters.push({version, resolve})
-        } else pendingProgress.set(job, {progress, version, waiters: [{version, resolve}]})
+        } else pendingProgress.set(job, {progress, remaining, version, waiters: [{version, resolve}]})
         if (progress.outcome === undefined) clock.after(PROGRESS_BATCH_DELAY_MS, commitNext)
         else commitNext()
       })
--- a/src/planner/opensteps.ts
+++ b/src/planner/opensteps.ts
@@ -7,6 +7,7 @@
 import {compareWaitingSteps, latencyObjective} from "../pipelines/order.js"
 import type {WaitingStep} from "../pipelines/order.js"
 import {mayBegin} from "../pipelines/progress.js"
+import type {WaitingTasks, WorkspaceUse} from "../pipelines/workspaceroom.js"
 import type {ActiveJob, StepRun, WorkerState} from "./state.js"
 import {dueAt, findStepRun} from "./state.js"
 
@@ -28,6 +29,8 @@
   readonly urgentPriorities: ReadonlyMap<string, number>
   /** Instances that are free to call the advice service, less the requests already queued. */
   readonly idleRequesters: number
+  /** What each workspace with a limit occupies. */
+  readonly workspaceUses: ReadonlyMap<string, WorkspaceUse>
   /** Limit on the work of the pass; see `nextWorkLimit`. */
   readonly workLimit: number
 }
@@ -37,6 +40,13 @@
   readonly run: StepRun
   readonly queue: Queue
   readonly rank: WaitingStep
+  /** The number of waiting tasks for which the limit of the workspace leaves room; of a gang all or none. */
+  readonly startable: number
+}
+
+/** The step's waiting tasks, as the room of its workspace counts them. */
+export function waitingTasksOf({owner, step, waiting}: StepRun): WaitingTasks {
+  return {workspace: owner.job.workspace, step, waiting: waiting.size}
 }
 
 function isOpen(run: StepRun, view: PassView): boolean {
@@ -68,7 +78,7 @@
     if (active.isInherited && view.awaitsListing(active.job.id)) continue
     for (const run of active.stepRuns) {
       if (!isOpen(run, view)) continue
-      steps.push({run, queue, rank: rankStep(run, queue, view)})
+      steps.push({run, queue, rank: rankStep(run, queue, view), startable: run.waiting.size})
     }
   }
   return steps.sort((one, other) => compareWaitingSteps(one.rank, other.rank, view.now))
@@ -93,7 +103,7 @@
         continue
       if (mayBegin(active.job, active.progress, run.occurrence, run.stepIndex)) continue
       if (maySoonBegin(run, view.now, queue.advice.ticketLife * LOOKAHEAD_TICKET_SHARE))
-        upcoming.push({run, queue, rank: rankStep(run, queue, view)})
+        upcoming.push({run, queue, rank: rankStep(run, queue, view), startable: run.waiting.size})
     }
   }
   return upcoming
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -6,6 +6,8 @@
 import type {Clock, Milliseconds} from "../core/clock.js"
 import {withTimeout} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
+import type {Resources} from "../core/resources.js"
+import {add, isNothing, NO_RESOURCES} from "../core/resources.js"
 import type {FleetConfiguration, PipelineJob, Queue} from "../pipelines/model.js"
 import type {FleetReader, KeyChange, KeyValueStore, StoredItem, WorkerCalls} from "../pipelines/ports.js"
 import type {CancelAnswer, CountedLoads, Member, StoreAnswer} from "../peer/fleet.js"
@@ -19,9 +21,12 @@
 import {createJobTable, INITIAL_PROGRESS} from "./jobtable.js"
 import type {ShownState} from "./jobtable.js"
 import {estimateMemory, MAX_ACCEPTED_BYTES} from "../pipelines/footprint.js"
+import type {WorkspaceUse} from "../pipelines/workspaceroom.js"
 import {findEarlierLeaders} from "./earlierleaders.js"
 import {createLeaderLoad} from "./leaderload.js"
 import type {LeaderBacklog} from "./leaderload.js"
+import {createEndedRuns} from "./endedruns.js"
+import {createHoldLog} from "./holdlog.js"
 import {createFollowers} from "./followers.js"
 import {createLedger} from "./ledger.js"
 import {throttleWorker} from "./throttle.js"
@@ -50,6 +55,8 @@
 import {openWorkerLink} from "./workerlink.js"
 import type {WorkerLinkEvents} from "./workerlink.js"
 import {createWorkerPool} from "./workerpool.js"
+import type {RemainingRuns} from "./workspaceuse.js"
+import {createWorkspaceUses, sumRuns, sumWaiting} from "./workspaceuse.js"
 
 export interface PlannerLimits {
   /** How long the lease of a worker's tasks lasts from each renewal. */
@@ -122,6 +129,7 @@
   let lastPassDuration: Milliseconds = 0
   let workLimit = INITIAL_WORK_LIMIT
   let openSteps = 0
+  let heldSteps = 0
   let workRead: WorkRead = {sentAt: startedAt, answeredAt: startedAt}
   /** Bytes that the jobs whose records are being written are estimated to take. */
   let memoryBeingStored = 0
@@ -169,7 +177,10 @@
   })
   const queueServices = createQueueServices()
   const adviceDispatcher = createAdviceDispatcher(clock, log, adviceRequesters)
-  const jobs = createJobTable(clock, log, ledger, findQueue, stopAllRuns)
+  const jobs = createJobTable(clock, log, ledger, findQueue, handleOutcome)
+  const workspaceUses = createWorkspaceUses()
+  const endedRuns = createEndedRuns()
+  const holdLog = createHoldLog(clock, log)
 
   function findQueue(name: string): Queue | undefined {
     return configuration()?.queues.find(queue => queue.name === name)
@@ -277,10 +288,47 @@
     schedulePass()
   }
 
-  function stopAllRuns(active: ActiveJob): void {
+  /** Stops all runs of a job that has ended. Returns what they occupy until then. */
+  function handleOutcome(active: ActiveJob): RemainingRuns | undefined {
     for (const run of active.stepRuns) {
       for (const assignment of run.assignments) pool.linkOf(assignment.worker)?.stop(assignment)
     }
+    const {job, progress} = active
+    // The runs of a completed job have all ended.
+    if (job.workspace === undefined || progress.outcome === "completed") return undefined
+    const unseen = mayRunUnseen(active) ? sumWaiting(active) : NO_RESOURCES
+    if (!isNothing(unseen)) endedRuns.add(job.id, {workspace: job.workspace, occupied: unseen})
+    const occupied = add(sumRuns(active), unseen)
+    return isNothing(occupied) ? undefined : {workspace: job.workspace, occupied}
+  }
+
+  /** True while tasks of the job that are not assigned here may run for an earlier leader. */
+  function mayRunUnseen(active: ActiveJob): boolean {
+    if (!active.isInherited) return false
+    if (queueServices.listUsed(active.job).some(barrier.blocks)) return true
+    return reports.isAwaitingReport(active.job.id)
+  }
+
+  /** Total capacity of the workers on which tasks may run that are not assigned here. */
+  function sumUnseenCapacity(): Resources {
+    let sum = NO_RESOURCES
+    for (const worker of pool.workers.values())
+      if (barrier.has(worker) || worker.unknownJobs.size > 0) sum = add(sum, worker.listing.capacity)
+    return sum
+  }
+
+  function sumWorkspaceUse(): ReadonlyMap<string, WorkspaceUse> {
+    endedRuns.check(pool.workers.values(), barrier.countWorkers() === 0)
+    return workspaceUses.update(configuration(), {
+      activeJobs: jobs.active.values(),
+      mayRunUnseen: active => active.progress.outcome === undefined && mayRunUnseen(active),
+      unseenCapacity: sumUnseenCapacity,
+      remainingRuns: endedRuns.list(),
+    })
+  }
+
+  function sumCapacity(): Resources {
+    return [...pool.workers.values()].reduce((sum, {listing}) => add(sum, listing.capacity), NO_RESOURCES)
   }
 
   const starter = createStarter({
@@ -352,6 +400,7 @@
     passes += 1
     for (const active of jobs.active.values()) openDueOccurrences(active, clock.wallClock())
     const passStartedAt = clock.now()
+    const uses = sumWorkspaceUse()
     const result = planningPass.run(
       {
         now: clock.now(),
@@ -363,12 +412,15 @@
         awaitsListing: reports.isAwaitingReport,
         urgentPriorities: listUrgentPriorities(),
         idleRequesters: adviceDispatcher.countIdle(),
+        workspaceUses: uses,
         workLimit,
       },
       starter,
     )
     if (queueServices.needsRecording()) writeTerm(followers.current())
+    holdLog.record(result.heldSteps, uses)
     openSteps = result.openSteps
+    heldSteps = result.heldSteps.length
     lastPassDuration = clock.now() - passStartedAt
     const {preparation, work, workDuration} = result
     workLimit = preparation + nextWorkLimit(workLimit - preparation, work, workDuration)
@@ -467,6 +519,7 @@
     const work = readStoredWork(items)
     for (const {job, revision, record} of work.progress.values()) {
       ledger.setRevision(progressKey(job), revision)
+      if (record?.remaining) endedRuns.add(job, record.remaining)
       if (record?.withdrawn) jobs.addWithdrawn(job, record.writtenAt)
       else if (record?.outcome) jobs.addEnded(job, record.outcome, record.writtenAt)
     }
@@ -622,8 +675,10 @@
       starts: starter.countStarts(),
       relays: relays.countRelays(),
       passes,
+      held_steps: heldSteps,
       commits: ledger.commitCount(),
       ...leaderLoad.gauges(),
+      ...workspaceUses.gauges(sumCapacity()),
     }),
     close,
   }
--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -18,7 +18,10 @@
   needsAnswer,
   toWorkerOption,
 } from "./candidates.js"
-import {listUpcomingSteps, listOpenSteps} from "./opensteps.js"
+import {createWorkspaceRoom} from "../pipelines/workspaceroom.js"
+import type {HoldReason, WorkspaceRoom} from "../pipelines/workspaceroom.js"
+import {isTooLate} from "../pipelines/order.js"
+import {listUpcomingSteps, listOpenSteps, waitingTasksOf} from "./opensteps.js"
 import type {OpenStep, PassView} from "./opensteps.js"
 import {preempt} from "./preemption.js"
 import {createCapacityReserver, limitStarts, reserveForStep} from "./capacityreserver.js"
@@ -55,6 +58,57 @@
   readonly budget: WorkBudget
   /** Searches for tasks to preempt, by queue. */
   readonly searches: Map<string, number>
+  /** What workspaces may still start. */
+  readonly room: WorkspaceRoom
+  /** The same, less what steps that cannot be placed yet have claimed of it; see `claimRoom`. */
+  readonly claimableRoom: WorkspaceRoom
+  readonly heldSteps: HeldStep[]
+}
+
+/** Limits the steps, in their order, to what their workspaces may start of them. Leaves out those that are held. */
+function limitSteps(steps: readonly OpenStep[], view: PassView): readonly OpenStep[] {
+  if (view.workspaceUses.size === 0) return steps
+  const room = createWorkspaceRoom(view.workspaceUses)
+  const limited: OpenStep[] = []
+  for (const open of steps) {
+    const tasks = waitingTasksOf(open.run)
+    const startable = room.countStartable(tasks)
+    if (startable === 0) continue
+    room.occupy(tasks, startable)
+    limited.push({...open, startable})
+  }
+  return limited
+}
+
+/**
+ * The tasks of the step that its workspace has room for; none if the step is held. A held step keeps the room that
+ * becomes free from steps of its workspace that rank after it, unless it is handled out of turn or too late anyway.
+ */
+function findStartable(open: OpenStep, isUrgent: boolean, state: PassState): number {
+  const {view, room, claimableRoom, heldSteps} = state
+  const {run, rank} = open
+  const tasks = waitingTasksOf(run)
+  const startable = room.countStartable(tasks)
+  run.isHeldByLimit = startable === 0
+  if (startable > 0) return startable
+  heldSteps.push({run, reason: room.whyHeld(tasks)})
+  if (isUrgent && !isTooLate(rank, view.now)) {
+    room.hold(tasks)
+    claimableRoom.hold(tasks)
+  }
+  return 0
+}
+
+/**
+ * Claims room for the tasks of a step that could not be placed, and returns their number. Only for these is capacity
+ * reserved, are tasks preempted and is advice requested: a workspace whose steps wait for more than its limit admits
+ * takes no more of them than it can use.
+ */
+function claimRoom({run}: OpenStep, {claimableRoom}: PassState): number {
+  const tasks = waitingTasksOf(run)
+  const claimed = claimableRoom.countStartable(tasks)
+  if (claimed > 0) claimableRoom.occupy(tasks, claimed)
+  return claimed
 }
 
 /** Starts those tasks of a step that can be placed now. */
@@ -104,7 +158,11 @@
     queue.service,
     (reserved.freeProcessors.get(queue.service) ?? 0) - chosen.length * required.processors,
   )
+  const tasks = waitingTasksOf(run)
   actions.startTasks(run, workers)
+  const started = tasks.waiting - run.waiting.size
+  state.room.occupy(tasks, started)
+  state.claimableRoom.occupy(tasks, started)
   index.forget(workers)
 }
 
@@ -140,8 +198,15 @@
   actions.requestAdvice(run, queue, chosen)
 }
 
+/** A step that the limit of its workspace lets start no task. */
+export interface HeldStep {
+  readonly run: StepRun
+  readonly reason: HoldReason
+}
+
 /** What a pass has done. */
 export interface PassResult {
+  readonly heldSteps: readonly HeldStep[]
   /** Number of steps with tasks that might start. */
   readonly openSteps: number
   /** The work that was done before the first step was handled; no limit shortens it. */
@@ -171,8 +236,19 @@
       const index = indexWorkers(pool)
       const steps = listOpenSteps(view)
       const budget = createWorkBudget(view.workLimit)
-      const reserved = reserver.compute(view, pool, steps, index, budget)
-      const state: PassState = {view, actions, index, reserved, budget, searches: new Map()}
+      const reserved = reserver.compute(view, pool, limitSteps(steps, view), index, budget)
+      const room = createWorkspaceRoom(view.workspaceUses)
+      const state: PassState = {
+        view,
+        actions,
+        index,
+        reserved,
+        budget,
+        searches: new Map(),
+        room,
+        claimableRoom: room.copy(),
+        heldSteps: [],
+      }
       const waitingByService = new Map<string, number>()
       const preparation = budget.spent()
       let workDuration: Milliseconds = 0
@@ -181,18 +257,23 @@
       function handleStep(open: OpenStep, isUrgent: boolean): void {
         const {run, queue} = open
         budget.spend(1)
+        const startable = findStartable(open, isUrgent, state)
+        if (startable === 0) return
         const group = index.findGroup(run, queue.service)
-        placeStep(open, group, state)
+        placeStep({...open, startable}, group, state)
         if (run.waiting.size === 0) return
+        const claimed = claimRoom(open, state)
+        if (claimed === 0) return
+        const waiting = {...open, startable: claimed}
         if (isUrgent) {
-          reserveForStep(open, group.workers, view.now, reserved, index, budget)
-          preempt(open, group.workers, view, reserved, index, budget, state.searches, actions.preempt)
+          reserveForStep(waiting, group.workers, view.now, reserved, index, budget)
+          preempt(waiting, group.workers, view, reserved, index, budget, state.searches, actions.preempt)
         }
         const position = waitingByService.get(queue.service) ?? 0
         waitingByService.set(queue.service, position + 1)
         const wasAwaitingAdvice = run.isAwaitingAdvice
         const mayRequestEarly = position < EARLY_ADVICE_STEPS && idleRequesters > IDLE_REQUESTERS_KEPT
-        requestAdvice(open, group, mayRequestEarly, state)
+        requestAdvice(waiting, group, mayRequestEarly, state)
         if (!wasAwaitingAdvice && run.isAwaitingAdvice) idleRequesters -= 1
       }
 
@@ -207,11 +288,13 @@
       if (isComplete && idleRequesters > IDLE_REQUESTERS_KEPT) {
         for (const open of listUpcomingSteps(view)) {
           if (idleRequesters <= IDLE_REQUESTERS_KEPT || budget.left() === 0) break
+          if (claimRoom(open, state) === 0) continue
           requestAdvice(open, index.findGroup(open.run, open.queue.service), true, state)
           if (open.run.isAwaitingAdvice) idleRequesters -= 1
         }
       }
-      return {openSteps: steps.length, preparation, work, workDuration, isComplete}
+      const {heldSteps} = state
+      return {heldSteps, openSteps: steps.length, preparation, work, workDuration, isComplete}
     },
   }
 }
--- a/src/planner/preemption.ts
+++ b/src/planner/preemption.ts
@@ -58,7 +58,7 @@
   searches: Map<string, number>,
   stop: (run: StepRun, victims: readonly Assignment[]) => void,
 ): void {
-  const {run, queue, rank} = open
+  const {run, queue, rank, startable} = open
   const {now} = view
   if (!reserved.busyServices.has(queue.service) || now < run.preemptAt || isTooLate(rank, now)) return
   if (run.step.lasting || run.step.fills) return
@@ -89,7 +89,7 @@
     return {free, victims}
   })
   if (running.size === 0) return
-  const tasks = run.step.gang ? run.waiting.size : Math.min(MAXIMUM_TASKS_PER_PREEMPTION, run.waiting.size)
+  const tasks = run.step.gang ? startable : Math.min(MAXIMUM_TASKS_PER_PREEMPTION, startable)
   budget.spend(tasks * options.length * PLACING_WORK)
   const stopped = choosePreemption(requiredCapacity(run.step), run.step.estimate, tasks, options)
   if (stopped.length === 0) return
--- a/src/planner/records.ts
+++ b/src/planner/records.ts
@@ -5,6 +5,7 @@
 import {NO_PROGRESS} from "../pipelines/progress.js"
 import type {WorkerListing} from "../pipelines/model.js"
 import type {UsedServices} from "./queueservices.js"
+import type {RemainingRuns} from "./workspaceuse.js"
 
 export const STORE_PREFIX = "lacewing/"
 export const LEADER_KEY = `${STORE_PREFIX}leader`
@@ -68,6 +69,8 @@
    * and the job counts as unknown.
    */
   readonly withdrawn?: boolean
+  /** What the job still occupied when it ended, and its workspace. Absent if that was nothing, or without a workspace. */
+  readonly remaining?: RemainingRuns | undefined
 }
 
 /** A leader of an earlier term that may still act. */
--- a/src/planner/reports.ts
+++ b/src/planner/reports.ts
@@ -243,15 +243,21 @@
   function handleRunning(worker: WorkerState, report: WorkerReport, sentAt: Milliseconds): void {
     const listed = new Set<string>()
     let unknownRuns = 0
+    const unknownJobs = new Set<string>()
     for (const running of report.running) {
       const key = assignmentKey(running.task, running.attempt)
       listed.add(key)
       const assignment = worker.assignments.get(key)
       if (assignment) updateAssignment(assignment, running)
-      else if (mayBecomeKnown(worker, running.task) || !adoptOrStopRun(worker, running)) unknownRuns += 1
+      else if (mayBecomeKnown(worker, running.task) || !adoptOrStopRun(worker, running)) {
+        unknownRuns += 1
+        const job = parseTask(running.task)?.job
+        if (job !== undefined) unknownJobs.add(job)
+      }
       recordListed(worker, running.task)
     }
     worker.unknownTaskCount = unknownRuns
+    worker.unknownJobs = unknownJobs
     if (!report.mayOmitEnds) dropUnlisted(worker, listed, sentAt)
   }
 
--- a/src/planner/starting.ts
+++ b/src/planner/starting.ts
@@ -140,7 +140,11 @@
       workers,
       priority: queue.priority,
       duration: adviceCallDuration(terms, workers.length),
-      isWanted: () => !context.isClosed() && run.waiting.size > 0 && run.owner.progress.outcome === undefined,
+      isWanted: () =>
+        !context.isClosed() &&
+        run.waiting.size > 0 &&
+        !run.isHeldByLimit &&
+        run.owner.progress.outcome === undefined,
       onAnswer(permits, decidedAt) {
         const took = Math.round(clock.now() - requestedAt)
         const [asked, allowed] = [workers.length, permits?.length]
--- a/src/planner/state.ts
+++ b/src/planner/state.ts
@@ -38,6 +38,8 @@
   readonly assignments: Set<Assignment>
   /** A call to the advice service is queued or in flight for the step. */
   isAwaitingAdvice: boolean
+  /** The limit of the workspace let no task of the step start when the step was last handled. */
+  isHeldByLimit: boolean
   /** No task of the step is started before this instant, after a failure. */
   retryAt: Milliseconds
   /** No tasks are preempted for this step before this instant. */
@@ -119,6 +121,8 @@
   readonly assignments: Map<string, Assignment>
   /** Number of unknown tasks that the worker runs: tasks that belong to no active job here. */
   unknownTaskCount: number
+  /** The jobs of these tasks. */
+  unknownJobs: ReadonlySet<string>
   /** Capacity that the assignments occupy. */
   used: Resources
   /** Every end of a run up to this number was handled. */
@@ -164,6 +168,7 @@
     isReachable: false,
     assignments: new Map(),
     unknownTaskCount: 0,
+    unknownJobs: new Set(),
     used: NO_RESOURCES,
     handledThrough: 0,
     handledOutOfOrder: new Set(),
@@ -189,6 +194,7 @@
     policyVerdicts: new Map(),
     assignments: new Set(),
     isAwaitingAdvice: false,
+    isHeldByLimit: false,
     retryAt: 0,
     preemptAt: 0,
     preemptionCount: 0,
--- a/src/planner/workerpool.ts
+++ b/src/planner/workerpool.ts
@@ -239,7 +239,10 @@
     sweep() {
       const now = clock.now()
       for (const worker of [...workers.values()]) {
-        const mayHoldTasks = worker.assignments.size > 0 || (worker.isFenced && mayRunInherited(worker))
+        const mayHoldTasks =
+          worker.assignments.size > 0 ||
+          worker.unknownJobs.size > 0 ||
+          (worker.isFenced && mayRunInherited(worker))
         if (!worker.isReachable && mayHoldTasks && hasExpiredForCertain(worker)) {
           const {id} = worker.listing
           log.warn(
@@ -247,6 +250,7 @@
             "lease of an unreachable worker has expired; its tasks may start elsewhere",
           )
           for (const assignment of [...worker.assignments.values()]) release(assignment)
+          worker.unknownJobs = new Set()
           onLapsed(worker)
           onChange()
         }
--- a/test/unit/passes.test.ts
+++ b/test/unit/passes.test.ts
@@ -75,6 +75,7 @@
     awaitsListing: () => false,
     urgentPriorities: new Map([[QUEUE.service, QUEUE.priority]]),
     idleRequesters: 0,
+    workspaceUses: new Map(),
   }
   return view
 }
