--- a/test/unit/workspaces.test.ts
+++ b/test/unit/workspaces.test.ts
@@ -12,7 +12,7 @@
 import {assign, createActiveJob, createWorker} from "../../src/planner/state.js"
 import type {ActiveJob, WorkerState} from "../../src/planner/state.js"
 import {createWorkspaceUses} from "../../src/planner/workspaceuse.js"
-import {jobOf, listingOf, QUEUE, STEP} from "../support/fleet.js"
+import {jobOf, listingOf, QUEUE} from "../support/fleet.js"
 
 function resources(processors: number, accelerators = 0, memoryMebibytes = 0): Resources {
   return {processors, memoryMebibytes, accelerators}
