--- a/src/core/resources.ts
+++ b/src/core/resources.ts
@@ -69,6 +69,11 @@
   )
 }
 
+/** Returns the dominant share of a user with the weight, relative to that of users with weight 1. */
+export function weightedShare(usage: Resources, whole: Resources, weight: number): number {
+  return dominantShare(usage, whole) / weight
+}
+
 export function componentwiseMax(one: Resources, other: Resources): Resources {
   return {
     processors: Math.max(one.processors, other.processors),
--- a/src/pipelines/workspaceroom.ts
+++ b/src/pipelines/workspaceroom.ts
@@ -10,8 +10,10 @@
 import {add, isNothing, NO_RESOURCES, scale, subtract} from "../core/resources.js"
 import type {Step} from "./model.js"
 
-/** What the tasks of a workspace occupy, with its limit. */
+/** What the tasks of a workspace occupy, with its limit and weight. */
 export interface WorkspaceUse {
+  /** Share relative to that of other workspaces when there is too little for all. */
+  readonly weight: number
   /** Upper limit; 0 stands for no limit in that dimension. */
   readonly limit: Resources
   /** What runs, is being started or stopped, or may run unseen. */
--- a/src/placement/passplan.ts
+++ b/src/placement/passplan.ts
@@ -5,7 +5,7 @@
  */
 import type {Milliseconds} from "../core/clock.js"
 import type {Random} from "../core/random.js"
-import {add, dominantShare, fits, NO_RESOURCES, demandKey} from "../core/resources.js"
+import {add, fits, NO_RESOURCES, demandKey, weightedShare} from "../core/resources.js"
 import type {Resources} from "../core/resources.js"
 import type {TeamDefinition} from "../document/model.js"
 import type {FreeCapacity} from "../membership/table.js"
@@ -72,11 +72,6 @@
   return `${item.team}|${item.priority}|${item.pool}|${demandKey(item.demand)}`
 }
 
-/** The team's dominant share of the fleet, divided by its weight. */
-export function weightedShare(team: TeamDefinition | undefined, usage: Resources, fleet: Resources): number {
-  return dominantShare(usage, fleet) / (team?.weight ?? 1)
-}
-
 /** The largest free amount of each resource on any one worker of the group. */
 function largestFreeOf(free: FreeCapacity): Resources {
   return {
@@ -134,7 +129,7 @@
   const blockers = new Map<string, string>()
 
   function shareOf(team: string): number {
-    return weightedShare(inputs.teamOf(team), inputs.usageOf(team), fleet)
+    return weightedShare(inputs.usageOf(team), fleet, inputs.teamOf(team)?.weight ?? 1)
   }
 
   /** Ranks are lowest for starving work, then lower for higher priorities, then lower for smaller shares. */
--- a/src/planner/opensteps.ts
+++ b/src/planner/opensteps.ts
@@ -31,6 +31,8 @@
   readonly idleRequesters: number
   /** What each workspace with a limit occupies. */
   readonly workspaceUses: ReadonlyMap<string, WorkspaceUse>
+  /** True if the workspace of a running step is beyond its fair share, so that others rank before it. */
+  readonly isBeyondShare?: (run: StepRun, queue: Queue) => boolean
   /** Limit on the work of the pass; see `nextWorkLimit`. */
   readonly workLimit: number
 }
@@ -66,7 +68,8 @@
   const arrived = begin === 0 ? run.owner.arrivedAt : view.now - (view.wallClock - begin)
   const due = arrived + latencyObjective(job, queue)
   const work = run.waiting.size * run.step.demand.processors * run.step.estimate
-  return {priority: queue.priority, due, work, arrived}
+  const isBeyondShare = view.isBeyondShare?.(run, queue) ?? false
+  return {priority: queue.priority, due, work, arrived, isBeyondShare}
 }
 
 /** Steps with waiting tasks that may start now, in scheduling order. */
--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -30,6 +30,7 @@
 import type {WorkBudget} from "./passbudget.js"
 import type {Assignment, StepRun, WorkerState} from "./state.js"
 import {requiredCapacity} from "./state.js"
+import {shareSteps} from "./stepsharing.js"
 import {createStepTurns} from "./stepturns.js"
 import {indexWorkers} from "./workerindex.js"
 import type {WorkerGroup, WorkerIndex} from "./workerindex.js"
@@ -44,7 +45,13 @@
 export interface PassActions {
   /** Starts one task of the step on each of the workers and allocates their capacity at once. */
   readonly startTasks: (run: StepRun, workers: readonly WorkerState[]) => void
-  readonly requestAdvice: (run: StepRun, queue: Queue, workers: readonly string[]) => void
+  /** With `isBeyondShare`, the calls of the same priority for other steps go first. */
+  readonly requestAdvice: (
+    run: StepRun,
+    queue: Queue,
+    workers: readonly string[],
+    isBeyondShare?: boolean,
+  ) => void
   /** Stops running tasks, which later resume from their checkpoints, to free capacity for the step. */
   readonly preempt: (run: StepRun, victims: readonly Assignment[]) => void
 }
@@ -90,7 +97,7 @@
   const tasks = waitingTasksOf(run)
   const startable = room.countStartable(tasks)
   run.isHeldByLimit = startable === 0
-  if (startable > 0) return startable
+  if (startable > 0) return Math.min(startable, open.startable)
   heldSteps.push({run, reason: room.whyHeld(tasks)})
   if (isUrgent && !isTooLate(rank, view.now)) {
     room.hold(tasks)
@@ -104,9 +111,9 @@
  * reserved, are tasks preempted and is advice requested: a workspace whose steps wait for more than its limit admits
  * takes no more of them than it can use.
  */
-function claimRoom({run}: OpenStep, {claimableRoom}: PassState): number {
+function claimRoom({run}: OpenStep, wanted: number, {claimableRoom}: PassState): number {
   const tasks = waitingTasksOf(run)
-  const claimed = claimableRoom.countStartable(tasks)
+  const claimed = Math.min(wanted, claimableRoom.countStartable(tasks))
   if (claimed > 0) claimableRoom.occupy(tasks, claimed)
   return claimed
 }
@@ -195,7 +202,7 @@
   const chosen = chooseWorkersForAdvice(step, options, queue.advice, mayRequestEarly)
   if (chosen.length === 0) return
   budget.spend(ADVICE_CALL_WORK)
-  actions.requestAdvice(run, queue, chosen)
+  actions.requestAdvice(run, queue, chosen, open.rank.isBeyondShare)
 }
 
 /** A step that the limit of its workspace lets start no task. */
@@ -231,12 +238,16 @@
   const turns = createStepTurns()
 
   return {
-    run(view, actions) {
-      const pool = view.workers.filter(worker => isUsable(worker, view.now))
+    run(passView, actions) {
+      const pool = passView.workers.filter(worker => isUsable(worker, passView.now))
       const index = indexWorkers(pool)
-      const steps = listOpenSteps(view)
-      const budget = createWorkBudget(view.workLimit)
-      const reserved = reserver.compute(view, pool, limitSteps(steps, view), index, budget)
+      const openSteps = listOpenSteps(passView)
+      const budget = createWorkBudget(passView.workLimit)
+      const shares = shareSteps(openSteps, limitSteps(openSteps, passView), passView, pool)
+      const {steps} = shares
+      const view = {...passView, isBeyondShare: shares.isBeyondShare}
+      const withinShares = steps.filter(({rank}) => !rank.isBeyondShare)
+      const reserved = reserver.compute(view, pool, limitSteps(withinShares, view), index, budget)
       const room = createWorkspaceRoom(view.workspaceUses)
       const state: PassState = {
         view,
@@ -260,9 +271,11 @@
         const startable = findStartable(open, isUrgent, state)
         if (startable === 0) return
         const group = index.findGroup(run, queue.service)
+        const waitingBefore = run.waiting.size
         placeStep({...open, startable}, group, state)
-        if (run.waiting.size === 0) return
-        const claimed = claimRoom(open, state)
+        const unplaced = open.startable - (waitingBefore - run.waiting.size)
+        if (run.waiting.size === 0 || unplaced <= 0) return
+        const claimed = claimRoom(open, unplaced, state)
         if (claimed === 0) return
         const waiting = {...open, startable: claimed}
         if (isUrgent) {
@@ -288,13 +301,13 @@
       if (isComplete && idleRequesters > IDLE_REQUESTERS_KEPT) {
         for (const open of listUpcomingSteps(view)) {
           if (idleRequesters <= IDLE_REQUESTERS_KEPT || budget.left() === 0) break
-          if (claimRoom(open, state) === 0) continue
+          if (claimRoom(open, open.startable, state) === 0) continue
           requestAdvice(open, index.findGroup(open.run, open.queue.service), true, state)
           if (open.run.isAwaitingAdvice) idleRequesters -= 1
         }
       }
       const {heldSteps} = state
-      return {heldSteps, openSteps: steps.length, preparation, work, workDuration, isComplete}
+      return {heldSteps, openSteps: openSteps.length, preparation, work, workDuration, isComplete}
     },
   }
 }
--- a/src/planner/starting.ts
+++ b/src/planner/starting.ts
@@ -17,6 +17,8 @@
 const AVOID_AFTER_REFUSAL_MS: Milliseconds = 400
 /** Pause before a step is started again, after a malformed order or a refused member of its gang. */
 const STEP_RETRY_MS: Milliseconds = 150
+/** Puts the calls for workspaces beyond their fair share behind the others of the same priority. */
+const BEYOND_SHARE_RANK = 0.5
 /** Limit for the age of a ticket at which its answer arrives, as a share of its life. */
 const MAXIMUM_TICKET_AGE = 0.5
 
@@ -130,7 +132,12 @@
     schedulePass()
   }
 
-  function requestAdvice(run: StepRun, queue: Queue, workers: readonly string[]): void {
+  function requestAdvice(
+    run: StepRun,
+    queue: Queue,
+    workers: readonly string[],
+    isBeyondShare = false,
+  ): void {
     const terms = queue.advice
     if (!terms) return
     run.isAwaitingAdvice = true
@@ -138,7 +145,7 @@
     adviceDispatcher.submit({
       step: run.name,
       workers,
-      priority: queue.priority,
+      priority: queue.priority + (isBeyondShare ? BEYOND_SHARE_RANK : 0),
       duration: adviceCallDuration(terms, workers.length),
       isWanted: () =>
         !context.isClosed() &&
--- /dev/null
+++ b/src/planner/stepsharing.ts
@@ -0,0 +1,170 @@
+/**
+ * Finds which waiting steps, and which running tasks, belong to workspaces beyond their fair share, for one scheduling
+ * pass. Shares are taken for each service and each priority: of what the steps up to that priority use and what is free.
+ * Where all that waits up to a priority could start now, nobody is beyond a share. The tasks of a step that are within it
+ * rank before the rest of the step.
+ */
+import type {Resources} from "../core/resources.js"
+import {add, NO_RESOURCES, scale} from "../core/resources.js"
+import {countWithinShare, fairLevel, isBeyondShare} from "../pipelines/fairshare.js"
+import type {Queue} from "../pipelines/model.js"
+import {compareWaitingSteps} from "../pipelines/order.js"
+import type {WorkspaceUse} from "../pipelines/workspaceroom.js"
+import {freeCapacityOf} from "./candidates.js"
+import type {OpenStep, PassView} from "./opensteps.js"
+import type {StepRun, WorkerState} from "./state.js"
+import {requiredCapacity} from "./state.js"
+
+export interface StepShares {
+  /** The steps in their new order. A step that is partly beyond the share is listed in two parts. */
+  readonly steps: readonly OpenStep[]
+  /** True for the running tasks of a workspace that is beyond its share. */
+  readonly isBeyondShare: (run: StepRun, queue: Queue) => boolean
+}
+
+/** Jobs without a workspace share as one with an average weight. */
+const NO_WORKSPACE = ""
+
+interface Usage {
+  used: Resources
+  waiting: Resources
+}
+
+/** What is used and wanted of a service by the steps of one priority, or of those up to it. */
+type PriorityUsage = Map<string, Usage>
+
+interface ServicePriority {
+  readonly level: number
+  readonly whole: Resources
+  /** By workspace, what its steps up to the priority use. */
+  readonly used: Map<string, Resources>
+}
+
+function usageOf(usages: PriorityUsage, workspace: string): Usage {
+  const known = usages.get(workspace)
+  if (known) return known
+  const usage = {used: NO_RESOURCES, waiting: NO_RESOURCES}
+  usages.set(workspace, usage)
+  return usage
+}
+
+/** Usage by service, priority and workspace. */
+function sumUsage(steps: readonly OpenStep[], view: PassView): Map<string, Map<number, PriorityUsage>> {
+  const services = new Map<string, Map<number, PriorityUsage>>()
+  function usagesOf({service, priority}: Queue): PriorityUsage {
+    const priorities = services.get(service) ?? new Map<number, PriorityUsage>()
+    services.set(service, priorities)
+    const usages = priorities.get(priority) ?? new Map<string, Usage>()
+    priorities.set(priority, usages)
+    return usages
+  }
+  for (const active of view.activeJobs) {
+    const usages = usagesOf(view.queueOf(active))
+    const usage = usageOf(usages, active.job.workspace ?? NO_WORKSPACE)
+    for (const {step, assignments} of active.stepRuns)
+      if (assignments.size > 0) usage.used = add(usage.used, scale(requiredCapacity(step), assignments.size))
+  }
+  for (const {run, queue, startable} of steps) {
+    const usage = usageOf(usagesOf(queue), run.owner.job.workspace ?? NO_WORKSPACE)
+    usage.waiting = add(usage.waiting, scale(requiredCapacity(run.step), startable))
+  }
+  return services
+}
+
+function sumPool(pool: readonly WorkerState[]): ReadonlyMap<string, {whole: Resources; free: Resources}> {
+  const services = new Map<string, {whole: Resources; free: Resources}>()
+  for (const worker of pool) {
+    const {service, capacity} = worker.listing
+    const sums = services.get(service) ?? {whole: NO_RESOURCES, free: NO_RESOURCES}
+    services.set(service, {whole: add(sums.whole, capacity), free: add(sums.free, freeCapacityOf(worker))})
+  }
+  return services
+}
+
+function averageWeight(uses: ReadonlyMap<string, WorkspaceUse>): number {
+  let sum = 0
+  for (const {weight} of uses.values()) sum += weight
+  return uses.size > 0 ? sum / uses.size : 1
+}
+
+/** Computes the fair levels of each service for each priority up to which there is too little. */
+function computeLevels(
+  steps: readonly OpenStep[],
+  view: PassView,
+  pool: readonly WorkerState[],
+  weightOf: (workspace: string) => number,
+): ReadonlyMap<string, ReadonlyMap<number, ServicePriority>> {
+  const capacities = sumPool(pool)
+  const levels = new Map<string, ReadonlyMap<number, ServicePriority>>()
+  for (const [service, priorities] of sumUsage(steps, view)) {
+    const capacity = capacities.get(service)
+    if (!capacity) continue
+    const scarce = new Map<number, ServicePriority>()
+    const upTo: PriorityUsage = new Map()
+    for (const [priority, usages] of [...priorities].sort(([one], [other]) => one - other)) {
+      for (const [workspace, {used, waiting}] of usages) {
+        const sum = usageOf(upTo, workspace)
+        sum.used = add(sum.used, used)
+        sum.waiting = add(sum.waiting, waiting)
+      }
+      const claims = [...upTo].map(([workspace, {used, waiting}]) => ({
+        weight: weightOf(workspace),
+        used,
+        wanted: add(used, waiting),
+      }))
+      const available = claims.reduce((sum, claim) => add(sum, claim.used), capacity.free)
+      const level = fairLevel(claims, available, capacity.whole)
+      if (level === Infinity) continue
+      const used = new Map([...upTo].map(([workspace, usage]) => [workspace, usage.used]))
+      scarce.set(priority, {level, whole: capacity.whole, used})
+    }
+    if (scarce.size > 0) levels.set(service, scarce)
+  }
+  return levels
+}
+
+/**
+ * Orders the steps by the shares of their workspaces. Without workspaces, or with enough for all, they stay as they are.
+ * `wanted` are the steps as far as the limits of their workspaces admit them.
+ */
+export function shareSteps(
+  steps: readonly OpenStep[],
+  wanted: readonly OpenStep[],
+  view: PassView,
+  pool: readonly WorkerState[],
+): StepShares {
+  const {workspaceUses: uses} = view
+  if (uses.size === 0) return {steps, isBeyondShare: () => false}
+  const average = averageWeight(uses)
+  const weightOf = (workspace: string): number => uses.get(workspace)?.weight ?? average
+  const levels = computeLevels(wanted, view, pool, weightOf)
+  if (levels.size === 0) return {steps, isBeyondShare: () => false}
+
+  /** Divides the step into the part within the share of its workspace and the part beyond it. */
+  function divide(open: OpenStep): readonly OpenStep[] {
+    const {run, queue, rank, startable} = open
+    const shares = levels.get(queue.service)?.get(queue.priority)
+    if (!shares) return [open]
+    const workspace = run.owner.job.workspace ?? NO_WORKSPACE
+    const used = shares.used.get(workspace) ?? NO_RESOURCES
+    const demand = requiredCapacity(run.step)
+    const counted = countWithinShare(demand, used, weightOf(workspace), shares.level, shares.whole)
+    const within = run.step.gang && counted > 0 ? startable : Math.min(startable, counted)
+    shares.used.set(workspace, add(used, scale(demand, within)))
+    const beyond = {...open, startable: startable - within, rank: {...rank, isBeyondShare: true}}
+    if (within === 0) return [beyond]
+    return within === startable ? [open] : [{...open, startable: within}, beyond]
+  }
+
+  const beyondRunning = new Set<string>()
+  for (const [service, priorities] of levels)
+    for (const [priority, {level, whole, used}] of priorities)
+      for (const [workspace, amount] of used)
+        if (isBeyondShare(amount, weightOf(workspace), level, whole))
+          beyondRunning.add(`${service}|${priority}|${workspace}`)
+  return {
+    steps: steps.flatMap(divide).sort((one, other) => compareWaitingSteps(one.rank, other.rank, view.now)),
+    isBeyondShare: ({owner}, {service, priority}) =>
+      beyondRunning.has(`${service}|${priority}|${owner.job.workspace ?? NO_WORKSPACE}`),
+  }
+}
--- a/src/planner/workspaceuse.ts
+++ b/src/planner/workspaceuse.ts
@@ -6,7 +6,7 @@
  */
 import type {Resources} from "../core/resources.js"
 import {add, dominantShare, NO_RESOURCES, scale} from "../core/resources.js"
-import type {FleetConfiguration} from "../pipelines/model.js"
+import type {FleetConfiguration, Workspace} from "../pipelines/model.js"
 import type {WorkspaceUse} from "../pipelines/workspaceroom.js"
 import type {ActiveJob} from "./state.js"
 
@@ -119,28 +119,28 @@
 }
 
 /**
- * Creates the sums of a leader. They remember the limit of a workspace that the configuration names no longer, as long as
+ * Creates the sums of a leader. They remember the limit and weight of a workspace that the configuration names no longer, as long as
  * it has jobs: those go on under it. A later leader that has never known the limit applies none.
  */
 export function createWorkspaceUses(): WorkspaceUses {
-  const limits = new Map<string, Resources>()
+  const known = new Map<string, Workspace>()
   let latest: ReadonlyMap<string, WorkspaceUse> = new Map()
 
   return {
     update(configuration, sources) {
       const workspaces = configuration?.workspaces ?? []
-      for (const {name, limit} of workspaces) limits.set(name, limit)
+      for (const workspace of workspaces) known.set(workspace.name, workspace)
       // Without workspaces nothing has to be summed.
-      if (limits.size === 0) return latest
+      if (known.size === 0) return latest
       const sums = sumByWorkspace(sources)
       const named = new Set(workspaces.map(({name}) => name))
-      for (const name of limits.keys()) if (!named.has(name) && !sums.has(name)) limits.delete(name)
+      for (const name of known.keys()) if (!named.has(name) && !sums.has(name)) known.delete(name)
       const unseenCapacity = sources.unseenCapacity()
       const uses = new Map<string, WorkspaceUse>()
-      for (const [name, limit] of limits) {
+      for (const [name, {limit, weight}] of known) {
         const {occupied, longRunning, unseen} = sums.get(name) ?? NO_SUMS
         const bounded = componentwiseMin(unseen, unseenCapacity)
-        uses.set(name, {limit, occupied: add(occupied, bounded), longRunning})
+        uses.set(name, {limit, weight, occupied: add(occupied, bounded), longRunning})
       }
       latest = uses
       return uses
--- a/test/unit/workspaces.test.ts
+++ b/test/unit/workspaces.test.ts
@@ -19,7 +19,7 @@
 }
 
 function use(limit: Resources, occupied = NO_RESOURCES, longRunning = NO_RESOURCES): WorkspaceUse {
-  return {limit, occupied, longRunning}
+  return {limit, weight: 1, occupied, longRunning}
 }
 
 function tasks(waiting: number, demand: Resources, rest: Partial<Step> = {}): WaitingTasks {
