--- a/src/pipelines/fairshare.ts
+++ b/src/pipelines/fairshare.ts
@@ -16,12 +16,6 @@
   readonly wanted: Resources
 }
 
-/**
- * Work comes in waves, so that usage above the fair share is usual. A workspace has to use this many times its share
- * before its work goes behind that of others, which is otherwise ordered by its due time.
- */
-export const TOLERATED_SHARES = 2
-
 type Dimension = keyof Resources
 const DIMENSIONS: readonly Dimension[] = ["processors", "memoryMebibytes", "accelerators"]
 
@@ -68,25 +62,47 @@
   )
 }
 
-/** True if the workspace uses more than is tolerated beyond its fair share. */
+/** True if the workspace uses more than its fair share. */
 export function isBeyondShare(used: Resources, weight: number, level: number, whole: Resources): boolean {
-  return weightedShare(used, whole, weight) > level * TOLERATED_SHARES
+  return weightedShare(used, whole, weight) > level
 }
 
-/** How many tasks the workspace may start, beside what it uses, before it is beyond its share. */
-export function countWithinShare(
+/** Where tasks stand in relation to the fair share of their workspace. Lower ranks come first. */
+export const WITHIN_SHARE = 0
+/** The task, or gang, that begins within the share and exceeds it. A share may be smaller than any task. */
+export const CROSSING_SHARE = 1
+export const BEYOND_SHARE = 2
+export type ShareRank = typeof WITHIN_SHARE | typeof CROSSING_SHARE | typeof BEYOND_SHARE
+
+/** How many of so many tasks of a demand have which rank. */
+export type RankCounts = Readonly<Record<ShareRank, number>>
+
+/** Ranks tasks that a workspace may start one after the other beside what it uses. */
+export function rankTasks(
+  count: number,
   demand: Resources,
   used: Resources,
   weight: number,
   level: number,
   whole: Resources,
-): number {
-  let count = Infinity
+): RankCounts {
+  let within = count
+  let hasRoom = true
   for (const dimension of DIMENSIONS) {
-    const room = level * TOLERATED_SHARES * weight * whole[dimension] - used[dimension]
     if (whole[dimension] === 0) continue
-    if (room < -ROUNDING_TOLERANCE) return 0
-    if (demand[dimension] > 0) count = Math.min(count, Math.floor(room / demand[dimension]) + 1)
+    const room = level * weight * whole[dimension] - used[dimension]
+    if (room < -ROUNDING_TOLERANCE) hasRoom = false
+    if (demand[dimension] === 0) continue
+    if (room <= ROUNDING_TOLERANCE) hasRoom = false
+    within = Math.min(within, Math.max(0, Math.floor(room / demand[dimension] + ROUNDING_TOLERANCE)))
   }
-  return count
+  if (!hasRoom) return {[WITHIN_SHARE]: 0, [CROSSING_SHARE]: 0, [BEYOND_SHARE]: count}
+  const isExact = DIMENSIONS.some(
+    dimension =>
+      whole[dimension] > 0 &&
+      demand[dimension] > 0 &&
+      level * weight * whole[dimension] - used[dimension] - within * demand[dimension] <= ROUNDING_TOLERANCE,
+  )
+  const crossing = within < count && !isExact ? 1 : 0
+  return {[WITHIN_SHARE]: within, [CROSSING_SHARE]: crossing, [BEYOND_SHARE]: count - within - crossing}
 }
--- a/src/pipelines/order.ts
+++ b/src/pipelines/order.ts
@@ -3,6 +3,8 @@
  * share, then by lateness against the latency objective of the job, then by due time and arrival.
  */
 import type {Milliseconds} from "../core/clock.js"
+import {WITHIN_SHARE} from "./fairshare.js"
+import type {ShareRank} from "./fairshare.js"
 import type {PipelineJob, Queue} from "./model.js"
 
 /**
@@ -33,8 +35,8 @@
   readonly work: number
   /** Instant at which the job arrived or its occurrence fell due. */
   readonly arrived: Milliseconds
-  /** The workspace is beyond its fair share while there is too little for all. */
-  readonly isBeyondShare?: boolean
+  /** The rank by the fair share of the workspace; see `ShareRank`. Undefined while there is enough for all. */
+  readonly shareRank?: ShareRank | undefined
 }
 
 /** A completion counts until this multiple of the latency objective has passed since arrival. */
@@ -51,17 +53,12 @@
   return isTooLate(step, now) ? 2 : 1
 }
 
-/** 1 for a step that goes behind those of other workspaces. */
-function shareRank({isBeyondShare}: WaitingStep): number {
-  return isBeyondShare ? 1 : 0
-}
-
 /** Comparator for sorting: negative when the first step ranks before the second. */
 export function compareWaitingSteps(one: WaitingStep, other: WaitingStep, now: Milliseconds): number {
   return (
     one.priority - other.priority ||
     Number(isTooLate(one, now)) - Number(isTooLate(other, now)) ||
-    shareRank(one) - shareRank(other) ||
+    (one.shareRank ?? WITHIN_SHARE) - (other.shareRank ?? WITHIN_SHARE) ||
     latenessRank(one, now) - latenessRank(other, now) ||
     one.due - other.due ||
     one.arrived - other.arrived
--- a/src/planner/opensteps.ts
+++ b/src/planner/opensteps.ts
@@ -3,6 +3,7 @@
  * Also defines the view of the leader's state that a pass works on.
  */
 import type {Milliseconds} from "../core/clock.js"
+import type {ShareRank} from "../pipelines/fairshare.js"
 import type {Queue} from "../pipelines/model.js"
 import {compareWaitingSteps, latencyObjective} from "../pipelines/order.js"
 import type {WaitingStep} from "../pipelines/order.js"
@@ -31,8 +32,8 @@
   readonly idleRequesters: number
   /** What each workspace with a limit occupies. */
   readonly workspaceUses: ReadonlyMap<string, WorkspaceUse>
-  /** True if the workspace of a running step is beyond its fair share, so that others rank before it. */
-  readonly isBeyondShare?: (run: StepRun, queue: Queue) => boolean
+  /** The rank of running tasks by the fair share of their workspace. Absent while steps have no such ranks. */
+  readonly shareRankOf?: (run: StepRun, queue: Queue) => ShareRank
   /** Limit on the work of the pass; see `nextWorkLimit`. */
   readonly workLimit: number
 }
@@ -68,8 +69,8 @@
   const arrived = begin === 0 ? run.owner.arrivedAt : view.now - (view.wallClock - begin)
   const due = arrived + latencyObjective(job, queue)
   const work = run.waiting.size * run.step.demand.processors * run.step.estimate
-  const isBeyondShare = view.isBeyondShare?.(run, queue) ?? false
-  return {priority: queue.priority, due, work, arrived, isBeyondShare}
+  const shareRank = view.shareRankOf?.(run, queue)
+  return {priority: queue.priority, due, work, arrived, shareRank}
 }
 
 /** Steps with waiting tasks that may start now, in scheduling order. */
--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -6,6 +6,8 @@
 import type {Clock, Milliseconds} from "../core/clock.js"
 import {canStartTogether, chooseWorkersForAdvice} from "../pipelines/adviceselection.js"
 import type {AdviceCandidate} from "../pipelines/adviceselection.js"
+import {BEYOND_SHARE} from "../pipelines/fairshare.js"
+import type {ShareRank} from "../pipelines/fairshare.js"
 import type {Queue} from "../pipelines/model.js"
 import {placeTasks} from "../pipelines/placing.js"
 import {freeOutsideReservation} from "../pipelines/reserving.js"
@@ -45,12 +47,12 @@
 export interface PassActions {
   /** Starts one task of the step on each of the workers and allocates their capacity at once. */
   readonly startTasks: (run: StepRun, workers: readonly WorkerState[]) => void
-  /** With `isBeyondShare`, the calls of the same priority for other steps go first. */
+  /** Calls of the same priority with a lower `shareRank` go first. */
   readonly requestAdvice: (
     run: StepRun,
     queue: Queue,
     workers: readonly string[],
-    isBeyondShare?: boolean,
+    shareRank?: ShareRank,
   ) => void
   /** Stops running tasks, which later resume from their checkpoints, to free capacity for the step. */
   readonly preempt: (run: StepRun, victims: readonly Assignment[]) => void
@@ -202,7 +204,7 @@
   const chosen = chooseWorkersForAdvice(step, options, queue.advice, mayRequestEarly)
   if (chosen.length === 0) return
   budget.spend(ADVICE_CALL_WORK)
-  actions.requestAdvice(run, queue, chosen, open.rank.isBeyondShare)
+  actions.requestAdvice(run, queue, chosen, open.rank.shareRank)
 }
 
 /** A step that the limit of its workspace lets start no task. */
@@ -245,8 +247,8 @@
       const budget = createWorkBudget(passView.workLimit)
       const shares = shareSteps(openSteps, limitSteps(openSteps, passView), passView, pool)
       const {steps} = shares
-      const view = {...passView, isBeyondShare: shares.isBeyondShare}
-      const withinShares = steps.filter(({rank}) => !rank.isBeyondShare)
+      const view = {...passView, shareRankOf: shares.shareRankOf}
+      const withinShares = steps.filter(({rank}) => rank.shareRank !== BEYOND_SHARE)
       const reserved = reserver.compute(view, pool, limitSteps(withinShares, view), index, budget)
       const room = createWorkspaceRoom(view.workspaceUses)
       const state: PassState = {
--- a/src/planner/starting.ts
+++ b/src/planner/starting.ts
@@ -5,6 +5,8 @@
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
 import {adviceCallDuration} from "../pipelines/adviceselection.js"
+import {WITHIN_SHARE} from "../pipelines/fairshare.js"
+import type {ShareRank} from "../pipelines/fairshare.js"
 import type {AdviceTerms, Queue} from "../pipelines/model.js"
 import type {Permit, StartAnswer} from "../pipelines/ports.js"
 import type {AdviceDispatcher} from "./advicedispatcher.js"
@@ -17,8 +19,8 @@
 const AVOID_AFTER_REFUSAL_MS: Milliseconds = 400
 /** Pause before a step is started again, after a malformed order or a refused member of its gang. */
 const STEP_RETRY_MS: Milliseconds = 150
-/** Puts the calls for workspaces beyond their fair share behind the others of the same priority. */
-const BEYOND_SHARE_RANK = 0.5
+/** Ranks by fair share order the calls of one priority. */
+const SHARE_RANK_STEP = 0.25
 /** Limit for the age of a ticket at which its answer arrives, as a share of its life. */
 const MAXIMUM_TICKET_AGE = 0.5
 
@@ -136,7 +138,7 @@
     run: StepRun,
     queue: Queue,
     workers: readonly string[],
-    isBeyondShare = false,
+    shareRank: ShareRank = WITHIN_SHARE,
   ): void {
     const terms = queue.advice
     if (!terms) return
@@ -145,7 +147,7 @@
     adviceDispatcher.submit({
       step: run.name,
       workers,
-      priority: queue.priority + (isBeyondShare ? BEYOND_SHARE_RANK : 0),
+      priority: queue.priority + shareRank * SHARE_RANK_STEP,
       duration: adviceCallDuration(terms, workers.length),
       isWanted: () =>
         !context.isClosed() &&
--- a/src/planner/stepsharing.ts
+++ b/src/planner/stepsharing.ts
@@ -6,7 +6,15 @@
  */
 import type {Resources} from "../core/resources.js"
 import {add, NO_RESOURCES, scale} from "../core/resources.js"
-import {countWithinShare, fairLevel, isBeyondShare} from "../pipelines/fairshare.js"
+import {
+  BEYOND_SHARE,
+  CROSSING_SHARE,
+  fairLevel,
+  isBeyondShare,
+  rankTasks,
+  WITHIN_SHARE,
+} from "../pipelines/fairshare.js"
+import type {ShareRank} from "../pipelines/fairshare.js"
 import type {Queue} from "../pipelines/model.js"
 import {compareWaitingSteps} from "../pipelines/order.js"
 import type {WorkspaceUse} from "../pipelines/workspaceroom.js"
@@ -16,10 +24,10 @@
 import {requiredCapacity} from "./state.js"
 
 export interface StepShares {
-  /** The steps in their new order. A step that is partly beyond the share is listed in two parts. */
+  /** The steps in their new order. One whose tasks have different ranks is listed once for each. */
   readonly steps: readonly OpenStep[]
-  /** True for the running tasks of a workspace that is beyond its share. */
-  readonly isBeyondShare: (run: StepRun, queue: Queue) => boolean
+  /** The rank of the running tasks of a step. */
+  readonly shareRankOf: (run: StepRun, queue: Queue) => ShareRank
 }
 
 /** Jobs without a workspace share as one with an average weight. */
@@ -134,26 +142,27 @@
   pool: readonly WorkerState[],
 ): StepShares {
   const {workspaceUses: uses} = view
-  if (uses.size === 0) return {steps, isBeyondShare: () => false}
+  if (uses.size === 0) return {steps, shareRankOf: () => WITHIN_SHARE}
   const average = averageWeight(uses)
   const weightOf = (workspace: string): number => uses.get(workspace)?.weight ?? average
   const levels = computeLevels(wanted, view, pool, weightOf)
-  if (levels.size === 0) return {steps, isBeyondShare: () => false}
+  if (levels.size === 0) return {steps, shareRankOf: () => WITHIN_SHARE}
 
-  /** Divides the step into the part within the share of its workspace and the part beyond it. */
+  /** Divides the step into parts of equal rank. A gang has the rank of all of its tasks. */
   function divide(open: OpenStep): readonly OpenStep[] {
     const {run, queue, rank, startable} = open
     const shares = levels.get(queue.service)?.get(queue.priority)
     if (!shares) return [open]
     const workspace = run.owner.job.workspace ?? NO_WORKSPACE
     const used = shares.used.get(workspace) ?? NO_RESOURCES
-    const demand = requiredCapacity(run.step)
-    const counted = countWithinShare(demand, used, weightOf(workspace), shares.level, shares.whole)
-    const within = run.step.gang && counted > 0 ? startable : Math.min(startable, counted)
-    shares.used.set(workspace, add(used, scale(demand, within)))
-    const beyond = {...open, startable: startable - within, rank: {...rank, isBeyondShare: true}}
-    if (within === 0) return [beyond]
-    return within === startable ? [open] : [{...open, startable: within}, beyond]
+    const size = run.step.gang ? startable : 1
+    const demand = scale(requiredCapacity(run.step), size)
+    const units = startable / size
+    const counts = rankTasks(units, demand, used, weightOf(workspace), shares.level, shares.whole)
+    shares.used.set(workspace, add(used, scale(demand, units - counts[BEYOND_SHARE])))
+    return ([WITHIN_SHARE, CROSSING_SHARE, BEYOND_SHARE] as const)
+      .filter(shareRank => counts[shareRank] > 0)
+      .map(shareRank => ({...open, startable: counts[shareRank] * size, rank: {...rank, shareRank}}))
   }
 
   const beyondRunning = new Set<string>()
@@ -164,7 +173,9 @@
           beyondRunning.add(`${service}|${priority}|${workspace}`)
   return {
     steps: steps.flatMap(divide).sort((one, other) => compareWaitingSteps(one.rank, other.rank, view.now)),
-    isBeyondShare: ({owner}, {service, priority}) =>
-      beyondRunning.has(`${service}|${priority}|${owner.job.workspace ?? NO_WORKSPACE}`),
+    shareRankOf({owner}, {service, priority}) {
+      const {workspace = NO_WORKSPACE} = owner.job
+      return beyondRunning.has(`${service}|${priority}|${workspace}`) ? BEYOND_SHARE : WITHIN_SHARE
+    },
   }
 }
