The memory for accepted jobs is shared among workspaces by weight

A noisy workspace could fill the 48 MB that a leader holds, first come, first served. Half stays so; the other half is divided by weight, so that no workspace is refused a job because of another's.

--- a/src/planner/intake.ts
+++ b/src/planner/intake.ts
@@ -5,6 +5,7 @@
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
 import {sleep, withTimeout} from "../core/clock.js"
+import {hash32} from "../core/hash.js"
 import type {Logger} from "../core/logger.js"
 import type {CancelAnswer, FleetClients, QueueLoad, StoreAnswer} from "../peer/fleet.js"
 import {estimateMemory} from "../pipelines/footprint.js"
@@ -75,6 +76,8 @@
 const RETRY_AFTER_MS: Milliseconds = 2000
 /** The same where accepted jobs have to end first. */
 const OVER_CAPACITY_RETRY_MS: Milliseconds = 10_000
+/** Jobs that are refused together come back within this time after that one, not all at once. */
+const RETRY_SPREAD_MS: Milliseconds = 10_000
 /**
  * Limit on the memory that jobs stored by this instance without the leader take there, until the leader has stored one,
  * since only the leader knows how much it can still hold.
@@ -86,6 +89,10 @@
 /** Timeout of the notification that tells the leader about a job or a cancellation that is already stored. */
 const NOTIFY_TIMEOUT_MS: Milliseconds = 1000
 
+function spreadRetry(job: string): Milliseconds {
+  return OVER_CAPACITY_RETRY_MS + (hash32(job) % RETRY_SPREAD_MS)
+}
+
 export function createIntake(ports: IntakePorts): Intake {
   const {clock, log, store, clients, leadership, planner, loads} = ports
   /** Memory of the jobs that were stored without the leader since it last stored one. */
@@ -177,7 +184,7 @@
     if (outcome === "unknown") return {type: "unknown"}
     return {
       type: "refused",
-      retryAfter: outcome === "over-capacity" ? OVER_CAPACITY_RETRY_MS : RETRY_AFTER_MS,
+      retryAfter: outcome === "over-capacity" ? spreadRetry(job.id) : RETRY_AFTER_MS,
     }
   }
 
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -13,6 +13,7 @@
 import type {CancelAnswer, CountedLoads, Member, StoreAnswer} from "../peer/fleet.js"
 import type {OpenChannel} from "../relay/channel.js"
 import {createRelayDispatcher} from "../relay/dispatcher.js"
+import {createAcceptedMemory} from "./acceptedmemory.js"
 import type {AdviceRequester} from "./advicedispatcher.js"
 import {createAdviceDispatcher} from "./advicedispatcher.js"
 import {createBarrier, unconfirmedLimit} from "./barrier.js"
@@ -20,7 +21,6 @@
 import {watchPrefix} from "./prefixwatch.js"
 import {createJobTable, INITIAL_PROGRESS} from "./jobtable.js"
 import type {ShownState} from "./jobtable.js"
-import {estimateMemory, MAX_ACCEPTED_BYTES} from "../pipelines/footprint.js"
 import type {WorkspaceUse} from "../pipelines/workspaceroom.js"
 import {findEarlierLeaders} from "./earlierleaders.js"
 import {createLeaderLoad} from "./leaderload.js"
@@ -131,8 +131,6 @@
   let openSteps = 0
   let heldSteps = 0
   let workRead: WorkRead = {sentAt: startedAt, answeredAt: startedAt}
-  /** Bytes that the jobs whose records are being written are estimated to take. */
-  let memoryBeingStored = 0
   /** Jobs whose records are being written, each with the answer to its submission. */
   const jobsBeingStored = new Map<string, Promise<StoreAnswer>>()
   /** Workers that have refused this term, while the store is asked whether there is a later one. */
@@ -178,6 +176,7 @@
   const queueServices = createQueueServices()
   const adviceDispatcher = createAdviceDispatcher(clock, log, adviceRequesters)
   const jobs = createJobTable(clock, log, ledger, findQueue, handleOutcome)
+  const acceptedMemory = createAcceptedMemory(log, jobs, () => configuration()?.workspaces ?? [])
   const workspaceUses = createWorkspaceUses()
   const endedRuns = createEndedRuns()
   const holdLog = createHoldLog(clock, log)
@@ -646,19 +645,12 @@
         return "stored"
       }
       if (jobs.has(job.id)) return "stored"
-      const memory = estimateMemory(job)
-      if (jobs.memory() + memoryBeingStored + memory > MAX_ACCEPTED_BYTES) {
-        log.warn(
-          {event: "job-over-capacity", job: job.id, memory, accepted: jobs.memory() + memoryBeingStored},
-          "job refused, since the leader could not hold it beside those accepted",
-        )
-        return "over-capacity"
-      }
-      memoryBeingStored += memory
+      const reservation = acceptedMemory.reserve(job)
+      if (!reservation) return "over-capacity"
       const storing = storeNewJob(job)
       jobsBeingStored.set(job.id, storing)
       return storing.finally(() => {
-        memoryBeingStored -= memory
+        acceptedMemory.release(reservation)
         if (jobsBeingStored.get(job.id) === storing) jobsBeingStored.delete(job.id)
       })
     },
