--- a/src/pipelines/fairshare.ts
+++ b/src/pipelines/fairshare.ts
@@ -16,6 +16,12 @@
   readonly wanted: Resources
 }
 
+/**
+ * Work comes in waves, so that a workspace often wants more than its fair share for a moment. Only one that wants more
+ * than this many times its share goes behind the others; until then the due time of its work decides.
+ */
+export const USUAL_SHARES = 3
+
 type Dimension = keyof Resources
 const DIMENSIONS: readonly Dimension[] = ["processors", "memoryMebibytes", "accelerators"]
 
@@ -62,8 +68,13 @@
   )
 }
 
+/** True if the workspace wants so much more than its fair share that the rest of it goes behind the work of others. */
+export function wantsTooMuch({wanted, weight}: Claim, level: number, whole: Resources): boolean {
+  return weightedShare(wanted, whole, weight) > level * USUAL_SHARES
+}
+
 /** True if the workspace uses more than its fair share. */
-export function isBeyondShare(used: Resources, weight: number, level: number, whole: Resources): boolean {
+export function isBeyondShare({used, weight}: Claim, level: number, whole: Resources): boolean {
   return weightedShare(used, whole, weight) > level
 }
 
--- a/src/planner/stepsharing.ts
+++ b/src/planner/stepsharing.ts
@@ -12,6 +12,7 @@
   fairLevel,
   isBeyondShare,
   rankTasks,
+  wantsTooMuch,
   WITHIN_SHARE,
 } from "../pipelines/fairshare.js"
 import type {ShareRank} from "../pipelines/fairshare.js"
@@ -44,8 +45,10 @@
 interface ServicePriority {
   readonly level: number
   readonly whole: Resources
-  /** By workspace, what its steps up to the priority use. */
+  /** What the workspaces that want far more than their share use for steps up to the priority. */
   readonly used: Map<string, Resources>
+  /** Those of them that use more than their share already. */
+  readonly beyond: ReadonlySet<string>
 }
 
 function usageOf(usages: PriorityUsage, workspace: string): Usage {
@@ -116,15 +119,23 @@
         sum.waiting = add(sum.waiting, waiting)
       }
       const claims = [...upTo].map(([workspace, {used, waiting}]) => ({
+        workspace,
         weight: weightOf(workspace),
         used,
         wanted: add(used, waiting),
       }))
       const available = claims.reduce((sum, claim) => add(sum, claim.used), capacity.free)
-      const level = fairLevel(claims, available, capacity.whole)
-      if (level === Infinity) continue
-      const used = new Map([...upTo].map(([workspace, usage]) => [workspace, usage.used]))
-      scarce.set(priority, {level, whole: capacity.whole, used})
+      const {whole} = capacity
+      const level = fairLevel(claims, available, whole)
+      const tooMuch = claims.filter(claim => wantsTooMuch(claim, level, whole))
+      if (tooMuch.length === 0) continue
+      const beyond = tooMuch.filter(claim => isBeyondShare(claim, level, whole))
+      scarce.set(priority, {
+        level,
+        whole,
+        used: new Map(tooMuch.map(({workspace, used}) => [workspace, used])),
+        beyond: new Set(beyond.map(({workspace}) => workspace)),
+      })
     }
     if (scarce.size > 0) levels.set(service, scarce)
   }
@@ -152,9 +163,9 @@
   function divide(open: OpenStep): readonly OpenStep[] {
     const {run, queue, rank, startable} = open
     const shares = levels.get(queue.service)?.get(queue.priority)
-    if (!shares) return [open]
     const workspace = run.owner.job.workspace ?? NO_WORKSPACE
-    const used = shares.used.get(workspace) ?? NO_RESOURCES
+    const used = shares?.used.get(workspace)
+    if (!shares || !used) return [open]
     const size = run.step.gang ? startable : 1
     const demand = scale(requiredCapacity(run.step), size)
     const units = startable / size
@@ -165,17 +176,12 @@
       .map(shareRank => ({...open, startable: counts[shareRank] * size, rank: {...rank, shareRank}}))
   }
 
-  const beyondRunning = new Set<string>()
-  for (const [service, priorities] of levels)
-    for (const [priority, {level, whole, used}] of priorities)
-      for (const [workspace, amount] of used)
-        if (isBeyondShare(amount, weightOf(workspace), level, whole))
-          beyondRunning.add(`${service}|${priority}|${workspace}`)
   return {
     steps: steps.flatMap(divide).sort((one, other) => compareWaitingSteps(one.rank, other.rank, view.now)),
     shareRankOf({owner}, {service, priority}) {
       const {workspace = NO_WORKSPACE} = owner.job
-      return beyondRunning.has(`${service}|${priority}|${workspace}`) ? BEYOND_SHARE : WITHIN_SHARE
+      const isBeyond = levels.get(service)?.get(priority)?.beyond.has(workspace) ?? false
+      return isBeyond ? BEYOND_SHARE : WITHIN_SHARE
     },
   }
 }
