--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -34,6 +34,7 @@
 import {INITIAL_WORK_LIMIT, nextWorkLimit} from "./passbudget.js"
 import {pauseBeforePass} from "./passinterval.js"
 import {createPlanningPass} from "./planningpass.js"
+import {createShareLog} from "./sharelog.js"
 import {createStarter} from "./starting.js"
 import {createQueueServices} from "./queueservices.js"
 import {readStoredWork} from "./storedwork.js"
@@ -180,6 +181,7 @@
   const workspaceUses = createWorkspaceUses()
   const endedRuns = createEndedRuns()
   const holdLog = createHoldLog(clock, log)
+  const shareLog = createShareLog(clock, log)
 
   function findQueue(name: string): Queue | undefined {
     return configuration()?.queues.find(queue => queue.name === name)
@@ -418,6 +420,7 @@
     )
     if (queueServices.needsRecording()) writeTerm(followers.current())
     holdLog.record(result.heldSteps, uses)
+    shareLog.record(result.exceededShares)
     openSteps = result.openSteps
     heldSteps = result.heldSteps.length
     lastPassDuration = clock.now() - passStartedAt
@@ -668,6 +671,7 @@
       relays: relays.countRelays(),
       passes,
       held_steps: heldSteps,
+      exceeding_workspaces: shareLog.count(),
       commits: ledger.commitCount(),
       ...leaderLoad.gauges(),
       ...workspaceUses.gauges(sumCapacity()),
--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -33,6 +33,7 @@
 import type {Assignment, StepRun, WorkerState} from "./state.js"
 import {requiredCapacity} from "./state.js"
 import {shareSteps} from "./stepsharing.js"
+import type {ExceededShare} from "./stepsharing.js"
 import {createStepTurns} from "./stepturns.js"
 import {indexWorkers} from "./workerindex.js"
 import type {WorkerGroup, WorkerIndex} from "./workerindex.js"
@@ -216,6 +217,7 @@
 /** What a pass has done. */
 export interface PassResult {
   readonly heldSteps: readonly HeldStep[]
+  readonly exceededShares: readonly ExceededShare[]
   /** Number of steps with tasks that might start. */
   readonly openSteps: number
   /** The work that was done before the first step was handled; no limit shortens it. */
@@ -309,7 +311,15 @@
         }
       }
       const {heldSteps} = state
-      return {heldSteps, openSteps: openSteps.length, preparation, work, workDuration, isComplete}
+      return {
+        heldSteps,
+        exceededShares: shares.exceeded,
+        openSteps: openSteps.length,
+        preparation,
+        work,
+        workDuration,
+        isComplete,
+      }
     },
   }
 }
--- a/src/planner/stepsharing.ts
+++ b/src/planner/stepsharing.ts
@@ -5,7 +5,7 @@
  * rank before the rest of the step.
  */
 import type {Resources} from "../core/resources.js"
-import {add, NO_RESOURCES, scale} from "../core/resources.js"
+import {add, dominantShare, NO_RESOURCES, scale} from "../core/resources.js"
 import {
   BEYOND_SHARE,
   CROSSING_SHARE,
@@ -24,11 +24,23 @@
 import type {StepRun, WorkerState} from "./state.js"
 import {requiredCapacity} from "./state.js"
 
+/** A workspace that wants far more than its share of what the steps up to a priority may have of a service. */
+export interface ExceededShare {
+  readonly service: string
+  readonly priority: number
+  readonly workspace: string
+  /** Parts of its dominant resource: its fair share, what it uses and what it wants. */
+  readonly share: number
+  readonly used: number
+  readonly wanted: number
+}
+
 export interface StepShares {
   /** The steps in their new order. One whose tasks have different ranks is listed once for each. */
   readonly steps: readonly OpenStep[]
   /** The rank of the running tasks of a step. */
   readonly shareRankOf: (run: StepRun, queue: Queue) => ShareRank
+  readonly exceeded: readonly ExceededShare[]
 }
 
 /** Jobs without a workspace share as one with an average weight. */
@@ -49,6 +61,7 @@
   readonly used: Map<string, Resources>
   /** Those of them that use more than their share already. */
   readonly beyond: ReadonlySet<string>
+  readonly exceeded: readonly ExceededShare[]
 }
 
 function usageOf(usages: PriorityUsage, workspace: string): Usage {
@@ -135,6 +148,14 @@
         whole,
         used: new Map(tooMuch.map(({workspace, used}) => [workspace, used])),
         beyond: new Set(beyond.map(({workspace}) => workspace)),
+        exceeded: tooMuch.map(({workspace, weight, used, wanted}) => ({
+          service,
+          priority,
+          workspace,
+          share: level * weight,
+          used: dominantShare(used, whole),
+          wanted: dominantShare(wanted, whole),
+        })),
       })
     }
     if (scarce.size > 0) levels.set(service, scarce)
@@ -153,11 +174,11 @@
   pool: readonly WorkerState[],
 ): StepShares {
   const {workspaceUses: uses} = view
-  if (uses.size === 0) return {steps, shareRankOf: () => WITHIN_SHARE}
+  if (uses.size === 0) return {steps, shareRankOf: () => WITHIN_SHARE, exceeded: []}
   const average = averageWeight(uses)
   const weightOf = (workspace: string): number => uses.get(workspace)?.weight ?? average
   const levels = computeLevels(wanted, view, pool, weightOf)
-  if (levels.size === 0) return {steps, shareRankOf: () => WITHIN_SHARE}
+  if (levels.size === 0) return {steps, shareRankOf: () => WITHIN_SHARE, exceeded: []}
 
   /** Divides the step into parts of equal rank. A gang has the rank of all of its tasks. */
   function divide(open: OpenStep): readonly OpenStep[] {
@@ -183,5 +204,6 @@
       const isBeyond = levels.get(service)?.get(priority)?.beyond.has(workspace) ?? false
       return isBeyond ? BEYOND_SHARE : WITHIN_SHARE
     },
+    exceeded: [...levels.values()].flatMap(scarce => [...scarce.values()].flatMap(({exceeded}) => exceeded)),
   }
 }
--- a/test/fleet/limits.test.ts
+++ b/test/fleet/limits.test.ts
@@ -210,3 +210,18 @@
   await fleet.clock.advance(3000)
   t.is(await fleet.stateAt("entry-1", gang), "completed")
 })
+
+test("a workspace that hands in far too much goes behind another, with a line in the log", async t => {
+  const fleet = await startFleet(limits(workspace("north", 0), workspace("south", 0)), {workers: 1})
+  const noisy = jobIn("north", 1, {count: 400})
+  const other = Array.from({length: 4}, (_, index) => jobIn("south", 10 + index, {count: 2}))
+  await fleet.submit("entry-1", noisy)
+  for (const job of other) await fleet.submit("entry-1", job)
+  await fleet.clock.advance(2500)
+  for (const job of other) t.is(await fleet.stateAt("entry-1", job), "completed")
+  const lines = fleet.logLines.filter(({event}) => event === "share-exceeded")
+  t.deepEqual(
+    lines.map(({fields}) => fields.workspace),
+    ["north"],
+  )
+})
--- a/test/unit/fairshare.test.ts
+++ b/test/unit/fairshare.test.ts
@@ -231,6 +231,40 @@
   for (const name of ["south", "east", "west"]) t.true((waits[name] ?? Infinity) < 600, JSON.stringify(waits))
 })
 
+test("of two wide steps each has its part", t => {
+  const wide = (workspace: string): Arrival => ({workspace, step: {count: 400}})
+  const arrivals = [wide("north"), wide("south")]
+  const waits = playLoad({weights: {north: 1, south: 1}, arrivals: () => arrivals, ticks: 1})
+  t.deepEqual(waits, {north: 0, south: 0})
+})
+
+test("workspaces that want too much have their parts by weight", t => {
+  const waits = playLoad({
+    weights: {north: 3, south: 1},
+    arrivals: tick =>
+      tick === 0
+        ? [
+            {workspace: "south", count: 200},
+            {workspace: "north", count: 24},
+          ]
+        : [],
+    ticks: 10,
+  })
+  t.is(waits.north, 0, "three quarters of 32 processors")
+})
+
+test("a workspace that wants a little more than its share is ordered by due time", t => {
+  const arrivals = (first: number): readonly Arrival[] => [
+    {workspace: "north", count: first},
+    {workspace: "south", count: 32},
+  ]
+  const weights = {north: 1, south: 1}
+  const waits = playLoad({weights, arrivals: tick => (tick === 0 ? arrivals(32) : []), ticks: 10})
+  t.deepEqual(waits, {north: 0}, "all that was handed in first starts first")
+  const flooded = playLoad({weights, arrivals: tick => (tick === 0 ? arrivals(320) : []), ticks: 10})
+  t.deepEqual(flooded, {north: 0, south: 0})
+})
+
 test("no capacity is left idle for shares", t => {
   const waits = playLoad({
     weights: EQUAL,
