A configuration in the platform's form is checked before it is sent

Cause: the operators could check the project's own documents only. An error in a configuration of the platform's form showed when it was in force: a route that no call reaches, a key in two workspaces, a queue without workers. Change: `check` reads such a file, names each finding with its place, and tells what differs from the version in force, read from a file or from the store. Keys are counted, never printed. The comparison of sections is the one of documents.

--- a/src/cli/documents.ts
+++ b/src/cli/documents.ts
@@ -20,7 +20,7 @@
 }
 
 /** Returns the text of a file. When it cannot be read, prints an error and returns undefined. */
-function readFile(file: string, output: Output): string | undefined {
+export function readFile(file: string, output: Output): string | undefined {
   try {
     return readFileSync(file, "utf8")
   } catch (error) {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,10 +4,14 @@
 import {Command, InvalidArgumentError} from "commander"
 import {apiClient} from "./client.js"
 import type {ApiClient} from "./client.js"
-import {checkDocument, diffFiles, printHistory, promoteDocument, tryDocument} from "./documents.js"
+import {checkDocument, diffFiles, printHistory, promoteDocument, readFile, tryDocument} from "./documents.js"
 import {runEntry} from "./entry.js"
 import {EXIT} from "./exitcodes.js"
 import type {ExitCode} from "./exitcodes.js"
+import {checkFleetConfiguration, isFleetConfiguration} from "./fleetconfiguration.js"
+import type {CheckOptions} from "./fleetconfiguration.js"
+import {jsonClient} from "../platform/http.js"
+import {keyValueStore} from "../platform/kvstore.js"
 import {cancelJob, explainJob, showStatus, submitJob} from "./jobs.js"
 import {PROCESS_OUTPUT} from "./output.js"
 import {explainFromLog, writeReport} from "./logs.js"
@@ -70,11 +74,18 @@
 
 program
   .command("check <document>")
-  .description("check a configuration document and print every finding with its place")
+  .description("check a configuration before it is sent and print every finding with its place")
+  .option("--in-force <file>", "configuration in the platform's form to compare it with")
+  .option("--store <host:port>", "store with the configuration in force and the workers")
   .option("--json", "print JSON", false)
-  .action((document: string, options: {readonly json: boolean}) =>
-    setExitCode(checkDocument(document, options, output)),
-  )
+  .action(async (document: string, options: CheckOptions & {readonly store?: string}) => {
+    const text = readFile(document, output)
+    const store = options.store === undefined ? undefined : keyValueStore(jsonClient(1), options.store)
+    if (text === undefined) setExitCode(EXIT.invalid)
+    else if (isFleetConfiguration(text))
+      setExitCode(await checkFleetConfiguration(document, text, store, options, output))
+    else setExitCode(checkDocument(document, options, output))
+  })
 
 program
   .command("diff <before> <after>")
--- a/src/document/diff.ts
+++ b/src/document/diff.ts
@@ -5,6 +5,9 @@
 import {readIni} from "../core/inifile.js"
 import type {IniFile} from "../core/inifile.js"
 
+/** The values of keys, by section. */
+export type Sections = IniFile["sections"]
+
 /** A key whose value differs; an undefined value means that the document does not set the key. */
 export interface KeyChange {
   readonly section: string
@@ -13,35 +16,38 @@
   readonly after: string | undefined
 }
 
-function valueOf(ini: IniFile, section: string, key: string): string | undefined {
-  const values = ini.sections.get(section)
+function valueOf(sections: Sections, section: string, key: string): string | undefined {
+  const values = sections.get(section)
   return values && Object.hasOwn(values, key) ? values[key] : undefined
 }
 
-function allKeys(...files: readonly IniFile[]): readonly (readonly [string, string])[] {
+function allKeys(...files: readonly Sections[]): readonly (readonly [string, string])[] {
   const keys = new Map<string, readonly [string, string]>()
-  for (const ini of files) {
-    for (const [section, values] of ini.sections) {
+  for (const sections of files) {
+    for (const [section, values] of sections) {
       for (const key of Object.keys(values)) keys.set(`${section}\n${key}`, [section, key])
     }
   }
   return [...keys.values()].sort((one, other) => (one.join("\n") < other.join("\n") ? -1 : 1))
 }
 
-/** Returns the keys that differ between two texts, sorted by section and key. */
-export function diffDocuments(before: string, after: string): readonly KeyChange[] {
-  const oldFile = readIni("before", before)
-  const newFile = readIni("after", after)
-  return allKeys(oldFile, newFile)
+/** Returns the keys that differ, sorted by section and key. */
+export function diffSections(before: Sections, after: Sections): readonly KeyChange[] {
+  return allKeys(before, after)
     .map(([section, key]) => ({
       section,
       key,
-      before: valueOf(oldFile, section, key),
-      after: valueOf(newFile, section, key),
+      before: valueOf(before, section, key),
+      after: valueOf(after, section, key),
     }))
     .filter(change => change.before !== change.after)
 }
 
+/** Returns the keys that differ between two texts, sorted by section and key. */
+export function diffDocuments(before: string, after: string): readonly KeyChange[] {
+  return diffSections(readIni("before", before).sections, readIni("after", after).sections)
+}
+
 /**
  * Which document changed a key: `theirs` is the document now in force, `yours` the rejected proposal; `conflict` means
  * that they changed it differently.
@@ -70,7 +76,11 @@
 
 /** Compares two documents that were derived from the same base. Does not merge them. */
 export function diffThreeWay(base: string, theirs: string, yours: string): readonly ThreeWayChange[] {
-  const files = [readIni("base", base), readIni("theirs", theirs), readIni("yours", yours)] as const
+  const files = [
+    readIni("base", base).sections,
+    readIni("theirs", theirs).sections,
+    readIni("yours", yours).sections,
+  ] as const
   const [baseFile, theirFile, yourFile] = files
   return allKeys(...files)
     .map(([section, key]) => {
