--- a/src/cli/daemon.ts
+++ b/src/cli/daemon.ts
@@ -63,6 +63,7 @@
       incarnation,
       seeds: seedAddresses(settings),
       longestLease: settings.longestLease,
+      withdrawalLimit: settings.withdrawalLimit,
     },
     {
       clock,
@@ -78,6 +79,7 @@
   )
   const frontend = createFrontend({
     intake: instance.intake,
+    authorizer: instance.authorizer,
     configuration: instance.configuration,
     wallClock: clock.wallClock,
     longestRecord: settings.longestStoredValue,
--- a/src/peer/fleet.ts
+++ b/src/peer/fleet.ts
@@ -10,6 +10,7 @@
 import {CallFailed, describeError} from "../core/errors.js"
 import type {PeerConnection, PeerTls} from "./connection.js"
 import {openPeerConnection} from "./connection.js"
+import type {Caller} from "../pipelines/callers.js"
 import {Fleet, StoreOutcome} from "./generated/fleet_pb.js"
 import {Relay} from "./generated/relay_pb.js"
 import {openRelayChannel, relayService} from "./relay.js"
@@ -72,9 +73,14 @@
   readonly clockMs: Milliseconds
 }
 
-/** `over-capacity`: not stored, since the leader could not hold the job beside those that it has accepted. */
-export type StoreAnswer = "stored" | "not-stored" | "unknown" | "not-leader" | "over-capacity"
-export type CancelAnswer = "cancelled" | "ended" | "unknown-job" | "not-stored"
+/**
+ * `over-capacity`: not stored, since the leader could not hold the job beside those that it has accepted. `foreign`: not
+ * stored, since another workspace has a job with this identity.
+ */
+export type StoreAnswer = "stored" | "not-stored" | "unknown" | "not-leader" | "over-capacity" | "foreign"
+export type CancelAnswer = "cancelled" | "ended" | "unknown-job" | "not-stored" | "foreign"
+/** The answer to a caller who asks for the state of a job of another workspace. */
+export const FOREIGN_STATE = "foreign"
 
 /** A permit of the advice service: the ticket with which a task of the step may start on the worker. */
 export interface PermitRow {
@@ -87,10 +93,14 @@
   readonly ping: (ping: Ping) => PingAnswer
   /** Stores and plans a job. With `alreadyStored` the job is in the store already and is only planned. */
   readonly storeJob: (record: string, alreadyStored: boolean) => Promise<StoreAnswer>
-  /** The state of a job; empty if the job is not known here. */
-  readonly jobState: (job: string) => string
+  /** The state of a job; empty if the job is not known here. Without a caller, nobody's access is checked. */
+  readonly jobState: (job: string, caller: Caller | undefined) => string
   /** Cancels a job. With `alreadyStored` the cancellation is in the store already and is only applied. */
-  readonly cancelJob: (job: string, alreadyStored: boolean) => Promise<CancelAnswer>
+  readonly cancelJob: (
+    job: string,
+    alreadyStored: boolean,
+    caller: Caller | undefined,
+  ) => Promise<CancelAnswer>
   /** Asks the advice service for permits of a step on the given workers; undefined if it did not answer. */
   readonly ask: (
     step: string,
@@ -115,10 +125,15 @@
     alreadyStored: boolean,
     timeout: Milliseconds,
   ) => Promise<Result<StoreAnswer, CallFailed>>
-  readonly jobState: (job: string, timeout: Milliseconds) => Promise<Result<string, CallFailed>>
+  readonly jobState: (
+    job: string,
+    caller: Caller | undefined,
+    timeout: Milliseconds,
+  ) => Promise<Result<string, CallFailed>>
   readonly cancelJob: (
     job: string,
     alreadyStored: boolean,
+    caller: Caller | undefined,
     timeout: Milliseconds,
   ) => Promise<Result<CancelAnswer, CallFailed>>
   readonly ask: (
@@ -150,6 +165,7 @@
   [StoreOutcome.UNKNOWN]: "unknown",
   [StoreOutcome.NOT_LEADER]: "not-leader",
   [StoreOutcome.OVER_CAPACITY]: "over-capacity",
+  [StoreOutcome.FOREIGN]: "foreign",
 }
 
 const STORE_OUTCOMES: Readonly<Record<StoreAnswer, StoreOutcome>> = {
@@ -158,9 +174,19 @@
   unknown: StoreOutcome.UNKNOWN,
   "not-leader": StoreOutcome.NOT_LEADER,
   "over-capacity": StoreOutcome.OVER_CAPACITY,
+  foreign: StoreOutcome.FOREIGN,
 }
 
-const CANCEL_ANSWERS: ReadonlySet<string> = new Set(["cancelled", "ended", "unknown-job"])
+const CANCEL_ANSWERS: ReadonlySet<string> = new Set(["cancelled", "ended", "unknown-job", "foreign"])
+
+/** The field of a call that names the caller: empty for a caller without a workspace, absent where none is checked. */
+function formatCaller(caller: Caller | undefined): {readonly workspace?: string} {
+  return caller ? {workspace: caller.workspace ?? ""} : {}
+}
+
+function parseCaller(workspace: string | undefined): Caller | undefined {
+  return workspace === undefined ? undefined : {workspace: workspace === "" ? undefined : workspace}
+}
 
 function toCallFailed(address: string, error: unknown): CallFailed {
   const cause =
@@ -199,10 +225,12 @@
         const {outcome} = await client.storeJob({record, alreadyStored}, {timeoutMs})
         return STORE_ANSWERS[outcome]
       }),
-    jobState: (job, timeoutMs) => runCall(async () => (await client.jobState({job}, {timeoutMs})).state),
-    cancelJob: (job, alreadyStored, timeoutMs) =>
+    jobState: (job, caller, timeoutMs) =>
+      runCall(async () => (await client.jobState({job, ...formatCaller(caller)}, {timeoutMs})).state),
+    cancelJob: (job, alreadyStored, caller, timeoutMs) =>
       runCall(async () => {
-        const {outcome} = await client.cancelJob({job, alreadyStored}, {timeoutMs})
+        const request = {job, alreadyStored, ...formatCaller(caller)}
+        const {outcome} = await client.cancelJob(request, {timeoutMs})
         return CANCEL_ANSWERS.has(outcome) ? (outcome as CancelAnswer) : "not-stored"
       }),
     ask: (step, workers, timeout) =>
@@ -262,9 +290,9 @@
       async storeJob({record, alreadyStored}) {
         return {outcome: STORE_OUTCOMES[await handlers.storeJob(record, alreadyStored)]}
       },
-      jobState: ({job}) => ({state: handlers.jobState(job)}),
-      async cancelJob({job, alreadyStored}) {
-        const outcome = await handlers.cancelJob(job, alreadyStored)
+      jobState: ({job, workspace}) => ({state: handlers.jobState(job, parseCaller(workspace))}),
+      async cancelJob({job, alreadyStored, workspace}) {
+        const outcome = await handlers.cancelJob(job, alreadyStored, parseCaller(workspace))
         return {outcome: outcome === "not-stored" ? "" : outcome}
       },
       async ask({step, workers, timeoutMs}) {
--- a/src/pipelines/progress.ts
+++ b/src/pipelines/progress.ts
@@ -11,6 +11,8 @@
 
 export interface Progress {
   readonly outcome: Outcome | undefined
+  /** The workspace whose callers alone may see the job. It outlives the job's record, which is removed at its end. */
+  readonly owner?: string
   /**
    * Every occurrence of a job with several before this one is done, and `done` and `failures` do not list it. Absent while
    * the first occurrence is not done.
--- a/src/planner/configurationholder.ts
+++ b/src/planner/configurationholder.ts
@@ -12,10 +12,13 @@
   readonly text: () => string
   /** Takes the configuration from its text. */
   readonly apply: (text: string) => void
-  /** Takes the configuration from a list of store items. */
-  readonly onList: (items: readonly StoredItem[]) => void
-  /** Takes the configuration from changes of store keys. */
-  readonly onChanges: (changes: readonly KeyChange[]) => void
+  /** Takes the configuration from a list of store items. False if the list has none that can be read. */
+  readonly onList: (items: readonly StoredItem[]) => boolean
+  /**
+   * Takes the configuration from changes of store keys, in their order. Returns whether it can be read after the last one;
+   * undefined if none concerns it.
+   */
+  readonly onChanges: (changes: readonly KeyChange[]) => boolean | undefined
 }
 
 export function createConfigurationHolder(
@@ -26,20 +29,17 @@
   let current: FleetConfiguration | undefined
   let currentText = ""
 
-  function applyItem(key: string, value: string | undefined): void {
-    if (key === reader.configurationKey && value !== undefined) apply(value)
-  }
-
-  function apply(value: string): void {
+  /** Returns whether the text can be read. */
+  function apply(value: string): boolean {
     const next = reader.decodeConfiguration(value)
     if (!next) {
       log.error(
         {event: "configuration-unreadable"},
         "cannot parse the configuration in the store; keeping the current one",
       )
-      return
+      return false
     }
-    if (current && next.version <= current.version) return
+    if (current && next.version <= current.version) return true
     current = next
     currentText = value
     log.info(
@@ -47,13 +47,21 @@
       "a new configuration is in force",
     )
     onChange()
+    return true
   }
 
   return {
     current: () => current,
     text: () => currentText,
-    apply,
-    onList: items => items.forEach(item => applyItem(item.key, item.value)),
-    onChanges: changes => changes.forEach(change => applyItem(change.key, change.value)),
+    apply: text => void apply(text),
+    onList(items) {
+      const item = items.find(({key}) => key === reader.configurationKey)
+      return item !== undefined && apply(item.value)
+    },
+    onChanges: changes =>
+      changes
+        .filter(({key}) => key === reader.configurationKey)
+        .map(({value}) => value !== undefined && apply(value))
+        .at(-1),
   }
 }
--- a/src/planner/configurationupdater.ts
+++ b/src/planner/configurationupdater.ts
@@ -7,6 +7,7 @@
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
 import {sleep} from "../core/clock.js"
+import {createElapsedTime} from "../core/elapsedtime.js"
 import type {Logger} from "../core/logger.js"
 import type {FleetReader, KeyValueStore} from "../pipelines/ports.js"
 import type {ConfigurationHolder} from "./configurationholder.js"
@@ -22,11 +23,18 @@
   readonly isStoreFailing: () => boolean
   /** The text of the leader's configuration; empty if the leader did not answer. */
   readonly askLeader: () => Promise<string>
+  /** After this time no call with a withdrawn key may succeed; 0 if there is no such limit. */
+  readonly withdrawalLimit: Milliseconds
 }
 
 export interface ConfigurationUpdater {
-  /** How long ago the configuration of this instance was last known to be the newest. */
+  /**
+   * How long ago the configuration of this instance was last known to be the newest, counted from when the call was sent
+   * that told so. Suspensions count, and a process that has just started knows nothing.
+   */
   readonly age: () => Milliseconds
+  /** Reads the configuration in the store, unless that is under way. */
+  readonly refresh: () => Promise<void>
   /** Takes the version and its age from the leader's answer to a ping that was sent at the given time. */
   readonly recordLeaderVersion: (version: number, age: Milliseconds, sentAt: Milliseconds) => void
   readonly start: () => void
@@ -38,18 +46,25 @@
  * within 3 s.
  */
 const MAX_AGE_MS: Milliseconds = 1500
-/** How long the store holds a watch call open. Followers ping up to 0.6 s apart, which adds to the age. */
-const WATCH_MS: Milliseconds = 500
+/** Share of the limit for withdrawn keys after which the same is done, so that a read has time for some tries. */
+const MAX_AGE_SHARE = 0.3
+/**
+ * How long the store holds a watch call open. The age at the leader is up to twice as much, since the store may answer a
+ * call early and the process may read the answer late. Followers ping up to 0.6 s apart, which adds to it.
+ */
+const WATCH_MS: Milliseconds = 250
 const CHECK_INTERVAL_MS: Milliseconds = 100
 /** Minimum time between two reads, since a large configuration takes a part of a slow link. */
 const READ_INTERVAL_MS: Milliseconds = 300
 
 export function createConfigurationUpdater(ports: ConfigurationUpdaterPorts): ConfigurationUpdater {
-  const {clock, log, store, reader, holder, isLeader} = ports
+  const {clock, log, store, reader, holder, isLeader, withdrawalLimit} = ports
+  const elapsed = createElapsedTime(clock)
+  const maxAge = withdrawalLimit > 0 ? Math.min(MAX_AGE_MS, withdrawalLimit * MAX_AGE_SHARE) : MAX_AGE_MS
   let isStopped = false
   let confirmedAt = -Infinity
   let announcedVersion = 0
-  let isReading = false
+  let reading: Promise<void> | undefined
   let readStartedAt = -Infinity
 
   function currentVersion(): number {
@@ -61,20 +76,25 @@
   }
 
   function age(): Milliseconds {
-    return clock.now() - confirmedAt
+    return elapsed.since(confirmedAt)
   }
 
   function shouldRead(): boolean {
-    if (isReading || clock.now() - readStartedAt < READ_INTERVAL_MS) return false
+    if (reading || clock.now() - readStartedAt < READ_INTERVAL_MS) return false
     // While the store fails, probes find out when it answers again.
-    return announcedVersion > currentVersion() || (age() > MAX_AGE_MS && !ports.isStoreFailing())
+    return announcedVersion > currentVersion() || (age() > maxAge && !ports.isStoreFailing())
+  }
+
+  function read(): Promise<void> {
+    reading ??= readOnce().finally(() => {
+      reading = undefined
+    })
+    return reading
   }
 
-  async function read(): Promise<void> {
-    isReading = true
+  async function readOnce(): Promise<void> {
     readStartedAt = clock.now()
     if (ports.isStoreFailing() || !(await readFromStore())) await readFromLeader()
-    isReading = false
   }
 
   async function readFromStore(): Promise<boolean> {
@@ -87,8 +107,8 @@
       )
       return false
     }
-    if (result.value) holder.onList([result.value])
-    confirm(startedAt)
+    // What cannot be read may be newer than what is in force.
+    if (holder.onList(result.value ? [result.value] : [])) confirm(startedAt)
     return true
   }
 
@@ -107,6 +127,7 @@
   }
 
   async function watchAsLeader(): Promise<void> {
+    let isReadable = false
     while (!isStopped) {
       if (isLeader())
         await watchPrefix(
@@ -116,13 +137,12 @@
           clock,
           {
             onList(items, sentAt) {
-              holder.onList(items)
-              confirm(sentAt)
+              isReadable = holder.onList(items)
+              if (isReadable) confirm(sentAt)
             },
             onChanges(changes, sentAt) {
-              holder.onChanges(changes)
-              // The store answers by then, but a process that was suspended reads the answer much later.
-              confirm(Math.min(clock.now(), sentAt + WATCH_MS))
+              isReadable = holder.onChanges(changes) ?? isReadable
+              if (isReadable) confirm(sentAt)
             },
           },
           () => isStopped || !isLeader(),
@@ -133,6 +153,7 @@
 
   return {
     age,
+    refresh: read,
     recordLeaderVersion(version, leaderAge, sentAt) {
       announcedVersion = Math.max(announcedVersion, version)
       if (version > 0 && version === currentVersion()) confirm(sentAt - leaderAge)
--- a/src/planner/instance.ts
+++ b/src/planner/instance.ts
@@ -11,6 +11,8 @@
 import type {FleetConfiguration} from "../pipelines/model.js"
 import type {AdviceCalls, FleetReader, KeyValueStore, WorkerCalls} from "../pipelines/ports.js"
 import type {AdviceRequester} from "./advicedispatcher.js"
+import {createAuthorizer} from "./authorizer.js"
+import type {Authorizer} from "./authorizer.js"
 import {createConfigurationHolder} from "./configurationholder.js"
 import {createConfigurationUpdater} from "./configurationupdater.js"
 import {createIntake} from "./intake.js"
@@ -43,10 +45,13 @@
   readonly seeds: readonly string[]
   /** Upper limit for the leases of tasks. */
   readonly longestLease: Milliseconds
+  /** After this time no call with a withdrawn key may succeed; 0 if there is no such limit. */
+  readonly withdrawalLimit: Milliseconds
 }
 
 export interface FleetInstance {
   readonly intake: Intake
+  readonly authorizer: Authorizer
   readonly handlers: FleetHandlers
   readonly configuration: () => FleetConfiguration | undefined
   /** The answer to the platform's readiness checks. */
@@ -115,6 +120,15 @@
       const answer = await clients.reach(leader.member.address).configuration(CONFIGURATION_TIMEOUT_MS)
       return answer.unwrapOr("")
     },
+    withdrawalLimit: identity.withdrawalLimit,
+  })
+  const authorizer = createAuthorizer({
+    clock,
+    log,
+    configuration: configuration.current,
+    age: updater.age,
+    refresh: updater.refresh,
+    withdrawalLimit: identity.withdrawalLimit,
   })
 
   async function startPlanner(term: number, confirmedAt: Milliseconds): Promise<void> {
@@ -213,8 +227,9 @@
   const handlers: FleetHandlers = {
     ping: answerPing,
     storeJob: async (record, alreadyStored) => planner?.storeJob(record, alreadyStored) ?? "not-leader",
-    jobState: job => planner?.stateOf(job) ?? "",
-    cancelJob: async (job, alreadyStored) => planner?.cancel(job, alreadyStored) ?? "not-stored",
+    jobState: (job, caller) => planner?.stateOf(job, caller) ?? "",
+    cancelJob: async (job, alreadyStored, caller) =>
+      planner?.cancel(job, alreadyStored, caller) ?? "not-stored",
     ask,
     takeOver: term => leadership.takeOver(term),
     configuration: configuration.text,
@@ -234,16 +249,18 @@
 
   return {
     intake,
+    authorizer,
     handlers,
     configuration: configuration.current,
     isReady() {
-      if (isDraining || !configuration.current()) return false
+      if (isDraining || !configuration.current() || !authorizer.isConfirmed()) return false
       return planner !== undefined || leadership.timeSinceLeaderAnswer() < MAX_LEADERLESS_MS
     },
     isDraining: () => isDraining,
     counts: () => ({
       leads: leadership.isLeader() ? 1 : 0,
       members: leadership.members().length,
+      ...authorizer.counts(),
       ...planner?.counts(),
     }),
     start() {
--- a/src/planner/intake.ts
+++ b/src/planner/intake.ts
@@ -6,10 +6,13 @@
 import type {Clock, Milliseconds} from "../core/clock.js"
 import {sleep, withTimeout} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
+import {FOREIGN_STATE} from "../peer/fleet.js"
 import type {CancelAnswer, FleetClients, QueueLoad, StoreAnswer} from "../peer/fleet.js"
 import {estimateMemory} from "../pipelines/footprint.js"
+import {ANONYMOUS, isForeign, maySee, ownerOf} from "../pipelines/callers.js"
+import type {Caller} from "../pipelines/callers.js"
 import type {PipelineJob} from "../pipelines/model.js"
-import type {KeyValueStore} from "../pipelines/ports.js"
+import type {KeyValueStore, StoredItem} from "../pipelines/ports.js"
 import type {ShownState} from "./jobtable.js"
 import type {Leadership} from "./leadership.js"
 import type {Planner} from "./planner.js"
@@ -19,6 +22,7 @@
   formatWithdrawal,
   jobKey,
   LEADER_KEY,
+  parseJob,
   parseProgress,
   progressKey,
   unstoredConditions,
@@ -30,17 +34,21 @@
   | {readonly type: "refused"; readonly retryAfter: Milliseconds}
   /** The job may or may not be stored; the caller may submit it again under the same name. */
   | {readonly type: "unknown"}
+  /** Certainly not stored: another workspace has a job under this name. */
+  | {readonly type: "foreign"}
 
 export type StateAnswer =
   | {readonly type: "state"; readonly state: ShownState}
   | {readonly type: "unknown-job"}
   | {readonly type: "unavailable"}
-export type CancelOutcome = "cancelled" | "unknown-job" | "unavailable"
+  /** The job belongs to another workspace than the caller. */
+  | {readonly type: "foreign"}
+export type CancelOutcome = "cancelled" | "unknown-job" | "unavailable" | "foreign"
 
 export interface Intake {
   readonly submit: (job: PipelineJob, clientTimeout: Milliseconds) => Promise<SubmitAnswer>
-  readonly state: (job: string) => Promise<StateAnswer>
-  readonly cancel: (job: string) => Promise<CancelOutcome>
+  readonly state: (job: string, caller?: Caller) => Promise<StateAnswer>
+  readonly cancel: (job: string, caller?: Caller) => Promise<CancelOutcome>
   /** The number of jobs of a queue that have not started; undefined if there is no recent count. */
   readonly pending: (queue: string) => number | undefined
 }
@@ -86,6 +94,18 @@
 /** Timeout of the notification that tells the leader about a job or a cancellation that is already stored. */
 const NOTIFY_TIMEOUT_MS: Milliseconds = 1000
 
+function describeState(state: ShownState | typeof FOREIGN_STATE): StateAnswer {
+  return state === FOREIGN_STATE ? {type: "foreign"} : {type: "state", state}
+}
+
+/** The workspace whose callers alone may see the job, by what the store has of it. */
+function findOwner(items: readonly StoredItem[], job: string): string | undefined {
+  const record = items.find(({key}) => key === jobKey(job))
+  const progress = items.find(({key}) => key === progressKey(job))
+  const stored = record && parseJob(record.value)
+  return (stored && ownerOf(stored)) ?? (progress && parseProgress(progress.value)?.owner)
+}
+
 export function createIntake(ports: IntakePorts): Intake {
   const {clock, log, store, clients, leadership, planner, loads} = ports
   /** Memory of the jobs that were stored without the leader since it last stored one. */
@@ -154,6 +174,7 @@
     }
     log.info({event: "stored-directly", job: job.id}, "a job was stored without the leader")
     if (result.value.type === "committed") notifyLeader(record)
+    else if (isForeign(findOwner(result.value.items, job.id), job)) return "foreign"
     return "stored"
   }
 
@@ -162,30 +183,33 @@
     const atLeader = storeAtLeader(job, clientTimeout)
     const first = await withTimeout(clock, atLeader, DIRECT_WRITE_DELAY_MS, undefined)
     if (first === "stored") directBytes = 0
-    if (first === "stored" || first === "over-capacity") return first
+    if (first === "stored" || first === "over-capacity" || first === "foreign") return first
     const direct = await storeDirectly(job)
-    if (direct === "stored") return direct
+    if (direct === "stored" || direct === "foreign") return direct
     const last = first ?? (await atLeader)
     if (last === "stored") directBytes = 0
-    if (last === "stored" || (last === "over-capacity" && direct !== "unknown")) return last
+    if (last === "stored" || last === "foreign" || (last === "over-capacity" && direct !== "unknown"))
+      return last
     return last === "unknown" || direct === "unknown" ? "unknown" : "not-stored"
   }
 
   async function submit(job: PipelineJob, clientTimeout: Milliseconds): Promise<SubmitAnswer> {
     const outcome = await storeWithFallback(job, clientTimeout)
     if (outcome === "stored") return {type: "stored"}
-    if (outcome === "unknown") return {type: "unknown"}
+    if (outcome === "unknown" || outcome === "foreign") return {type: outcome}
     return {
       type: "refused",
       retryAfter: outcome === "over-capacity" ? OVER_CAPACITY_RETRY_MS : RETRY_AFTER_MS,
     }
   }
 
-  async function readStateFromStore(job: string): Promise<StateAnswer> {
+  async function readStateFromStore(job: string, caller: Caller): Promise<StateAnswer> {
     const [stored, progress] = await Promise.all([store.read(jobKey(job)), store.read(progressKey(job))])
     if (stored.isErr() || progress.isErr()) return {type: "unavailable"}
     const record = progress.value && parseProgress(progress.value.value)
     if (record?.withdrawn) return {type: "unknown-job"}
+    const items = [stored.value, progress.value].filter(item => item !== undefined)
+    if (!maySee(findOwner(items, job), caller)) return {type: "foreign"}
     if (record?.outcome) return {type: "state", state: record.outcome}
     if (record) return {type: "state", state: "running"}
     if (stored.value) return {type: "state", state: "queued"}
@@ -193,37 +217,49 @@
     const again = await store.read(progressKey(job))
     if (again.isErr()) return {type: "unavailable"}
     const late = again.value && parseProgress(again.value.value)
+    if (!maySee(late?.owner, caller)) return {type: "foreign"}
     return late?.outcome && !late.withdrawn ? {type: "state", state: late.outcome} : {type: "unknown-job"}
   }
 
-  async function state(job: string): Promise<StateAnswer> {
+  async function state(job: string, caller = ANONYMOUS): Promise<StateAnswer> {
     const localPlanner = planner()
-    const known = localPlanner?.stateOf(job)
-    if (known) return {type: "state", state: known}
+    const known = localPlanner?.stateOf(job, caller)
+    if (known) return describeState(known)
     const address = localPlanner ? undefined : leaderAddress()
-    if (address === undefined) return readStateFromStore(job)
-    const atLeader = readStateAtLeader(address, job)
+    if (address === undefined) return readStateFromStore(job, caller)
+    const atLeader = readStateAtLeader(address, job, caller)
     const first = await withTimeout(clock, atLeader, STATE_READ_DELAY_MS, undefined)
     if (first) return first
-    const stored = await readStateFromStore(job)
+    const stored = await readStateFromStore(job, caller)
     return stored.type === "unavailable" ? ((await atLeader) ?? stored) : stored
   }
 
   /** Undefined if the leader does not know the job or did not answer. */
-  async function readStateAtLeader(address: string, job: string): Promise<StateAnswer | undefined> {
-    const answer = await clients.reach(address).jobState(job, STATE_TIMEOUT_MS)
+  async function readStateAtLeader(
+    address: string,
+    job: string,
+    caller: Caller,
+  ): Promise<StateAnswer | undefined> {
+    const answer = await clients.reach(address).jobState(job, caller, STATE_TIMEOUT_MS)
     if (answer.isErr() || answer.value === "") return undefined
-    return {type: "state", state: answer.value as ShownState}
+    return describeState(answer.value as ShownState | typeof FOREIGN_STATE)
   }
 
-  async function cancelAtLeader(job: string, alreadyStored: boolean): Promise<CancelAnswer> {
+  /** Without a caller, the cancellation is in the store already and only has to be applied. */
+  async function cancelAtLeader(job: string, caller: Caller | undefined): Promise<CancelAnswer> {
+    const alreadyStored = caller === undefined
     const localPlanner = planner()
     if (localPlanner)
-      return withTimeout(clock, localPlanner.cancel(job, alreadyStored), CANCEL_TIMEOUT_MS, "not-stored")
+      return withTimeout(
+        clock,
+        localPlanner.cancel(job, alreadyStored, caller),
+        CANCEL_TIMEOUT_MS,
+        "not-stored",
+      )
     const address = leaderAddress()
     if (address === undefined) return "not-stored"
     const timeout = alreadyStored ? NOTIFY_TIMEOUT_MS : CANCEL_TIMEOUT_MS
-    const answer = await clients.reach(address).cancelJob(job, alreadyStored, timeout)
+    const answer = await clients.reach(address).cancelJob(job, alreadyStored, caller, timeout)
     return answer.unwrapOr("not-stored")
   }
 
@@ -233,7 +269,7 @@
    */
   async function isCancelApplied(job: string, revision: number): Promise<boolean> {
     const term = leadership.leader()?.term
-    const [answer, read] = await Promise.all([cancelAtLeader(job, true), store.read(LEADER_KEY)])
+    const [answer, read] = await Promise.all([cancelAtLeader(job, undefined), store.read(LEADER_KEY)])
     if (read.isErr()) return false
     const presentTerm = read.value?.revision ?? 0
     if (presentTerm > revision) return true
@@ -244,7 +280,7 @@
    * Keeps a job that is not in the store from being stored, since its submission may still be under way: here, at another
    * instance, or in a write that the store carries out late.
    */
-  async function withdraw(job: string): Promise<CancelOutcome> {
+  async function withdraw(job: string, caller: Caller): Promise<CancelOutcome> {
     const result = await store.commit({
       conditions: unstoredConditions(job),
       writes: [{key: progressKey(job), value: formatWithdrawal(clock.wallClock())}],
@@ -261,14 +297,14 @@
     const progress = result.value.items.find(({key}) => key === progressKey(job))
     if (progress && parseProgress(progress.value)?.withdrawn) return "unknown-job"
     // The job has been stored meanwhile.
-    return cancelStored(job)
+    return maySee(findOwner(result.value.items, job), caller) ? cancelStored(job) : "foreign"
   }
 
   /** Cancels the job by the store alone if the leader does not know it or did not answer. */
-  async function cancelDirectly(job: string): Promise<CancelOutcome> {
-    const found = await readStateFromStore(job)
-    if (found.type === "unavailable") return "unavailable"
-    if (found.type === "unknown-job") return withdraw(job)
+  async function cancelDirectly(job: string, caller: Caller): Promise<CancelOutcome> {
+    const found = await readStateFromStore(job, caller)
+    if (found.type === "unavailable" || found.type === "foreign") return found.type
+    if (found.type === "unknown-job") return withdraw(job, caller)
     return found.state === "queued" || found.state === "running" ? cancelStored(job) : "cancelled"
   }
 
@@ -293,10 +329,10 @@
     return "unavailable"
   }
 
-  async function cancel(job: string): Promise<CancelOutcome> {
-    const answer = await cancelAtLeader(job, false)
+  async function cancel(job: string, caller = ANONYMOUS): Promise<CancelOutcome> {
+    const answer = await cancelAtLeader(job, caller)
     if (answer === "cancelled" || answer === "ended") return "cancelled"
-    return cancelDirectly(job)
+    return answer === "foreign" ? answer : cancelDirectly(job, caller)
   }
 
   return {
--- a/src/planner/jobtable.ts
+++ b/src/planner/jobtable.ts
@@ -21,6 +21,7 @@
   readonly expiresAt: Milliseconds
   /** The job was cancelled before it was stored, so that it counts as unknown. */
   readonly isWithdrawn: boolean
+  readonly owner: string | undefined
 }
 
 export interface JobTable {
@@ -29,13 +30,15 @@
   readonly memory: () => number
   readonly add: (job: PipelineJob, progress: Progress, inherited: boolean) => ActiveJob | undefined
   /** Adds a job that ended under an earlier leader. `writtenAt` is wall-clock time. */
-  readonly addEnded: (job: string, outcome: Outcome, writtenAt: number) => void
+  readonly addEnded: (job: string, outcome: Outcome, writtenAt: number, owner?: string) => void
   /** Adds a job that an instance has withdrawn, so that it is never stored. `writtenAt` is wall-clock time. */
   readonly addWithdrawn: (job: string, writtenAt: number) => void
   /** True for a job that is active, has ended or was withdrawn. */
   readonly has: (job: string) => boolean
   /** Undefined for an unknown job. Outcomes are returned only once they are stored. */
   readonly stateOf: (job: string) => ShownState | undefined
+  /** The workspace whose callers alone may see the job; undefined for an unknown job and one that all may see. */
+  readonly ownerOf: (job: string) => string | undefined
   /** Applies a change of progress. Resolves when the result is stored; undefined if it is stored already. */
   readonly updateProgress: (active: ActiveJob, step: ProgressChange) => Promise<void> | undefined
   /** Removes a job from the active ones once its outcome is stored and none of its tasks is at a worker. */
@@ -58,14 +61,13 @@
   const ended = new Map<string, EndedJob>()
   let memory = 0
 
-  function recordEnd(job: string, outcome: Outcome): void {
-    ended.set(job, {outcome, expiresAt: clock.now() + ENDED_JOB_RETENTION_MS, isWithdrawn: false})
+  function recordEnd(job: string, outcome: Outcome, owner: string | undefined): void {
+    ended.set(job, {outcome, expiresAt: clock.now() + ENDED_JOB_RETENTION_MS, isWithdrawn: false, owner})
   }
 
-  function addEnded(job: string, outcome: Outcome, writtenAt: number, isWithdrawn: boolean): void {
+  function addEnded(job: string, writtenAt: number, end: Omit<EndedJob, "expiresAt">): void {
     const age = Math.max(0, clock.wallClock() - writtenAt)
-    const expiresAt = clock.now() + Math.max(0, ENDED_JOB_RETENTION_MS - age)
-    ended.set(job, {outcome, expiresAt, isWithdrawn})
+    ended.set(job, {...end, expiresAt: clock.now() + Math.max(0, ENDED_JOB_RETENTION_MS - age)})
   }
 
   function dropIfFinished(candidate: ActiveJob): void {
@@ -86,8 +88,10 @@
       memory += added.memory
       return added
     },
-    addEnded: (job, outcome, writtenAt) => addEnded(job, outcome, writtenAt, false),
-    addWithdrawn: (job, writtenAt) => addEnded(job, "cancelled", writtenAt, true),
+    addEnded: (job, outcome, writtenAt, owner) =>
+      addEnded(job, writtenAt, {outcome, isWithdrawn: false, owner}),
+    addWithdrawn: (job, writtenAt) =>
+      addEnded(job, writtenAt, {outcome: "cancelled", isWithdrawn: true, owner: undefined}),
     has: job => active.has(job) || ended.has(job),
     stateOf(job) {
       const known = ended.get(job)
@@ -96,6 +100,7 @@
       if (!found) return undefined
       return found.hasStarted ? "running" : "queued"
     },
+    ownerOf: job => ended.get(job)?.owner ?? active.get(job)?.progress.owner,
     updateProgress(changed, step) {
       const {job, progress} = changed
       const next = applyProgress(job, progress, step)
@@ -107,7 +112,7 @@
       if (outcome === undefined) return stored
       onOutcome(changed)
       return stored.then(() => {
-        recordEnd(job.id, outcome)
+        recordEnd(job.id, outcome, next.owner)
         const took = Math.round(clock.wallClock() - job.acceptedAt)
         log.info({event: "job-ended", job: job.id, queue: job.queue.name, outcome, took}, "a job has ended")
         dropIfFinished(changed)
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -6,8 +6,11 @@
 import type {Clock, Milliseconds} from "../core/clock.js"
 import {withTimeout} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
+import {isForeign, maySee, ownerOf} from "../pipelines/callers.js"
+import type {Caller} from "../pipelines/callers.js"
 import type {FleetConfiguration, PipelineJob, Queue} from "../pipelines/model.js"
 import type {FleetReader, KeyChange, KeyValueStore, StoredItem, WorkerCalls} from "../pipelines/ports.js"
+import {FOREIGN_STATE} from "../peer/fleet.js"
 import type {CancelAnswer, CountedLoads, Member, StoreAnswer} from "../peer/fleet.js"
 import type {OpenChannel} from "../relay/channel.js"
 import {createRelayDispatcher} from "../relay/dispatcher.js"
@@ -34,6 +37,7 @@
 import {readStoredWork} from "./storedwork.js"
 import {
   formatTerm,
+  jobKey,
   LEADER_KEY,
   parseKey,
   parseJob,
@@ -87,9 +91,10 @@
   readonly loadingFor: () => Milliseconds
   /** With `alreadyStored`, the job is in the store and only has to be added to the planned jobs. */
   readonly storeJob: (record: string, alreadyStored: boolean) => Promise<StoreAnswer>
-  readonly stateOf: (job: string) => ShownState | undefined
+  /** Undefined for an unknown job. Without a caller, nobody's access is checked. */
+  readonly stateOf: (job: string, caller?: Caller) => ShownState | typeof FOREIGN_STATE | undefined
   /** With `alreadyStored`, the cancellation is in the store and only has to be applied. */
-  readonly cancel: (job: string, alreadyStored: boolean) => Promise<CancelAnswer>
+  readonly cancel: (job: string, alreadyStored: boolean, caller?: Caller) => Promise<CancelAnswer>
   /** The number of jobs not yet started, by queue. Undefined until jobs have been read from the store. */
   readonly loads: () => CountedLoads | undefined
   /** Records a ping that names this term. `answeredAt` is the time of the latest answer that the follower had, or 0. */
@@ -418,7 +423,11 @@
     schedulePass()
   }
 
-  async function cancel(job: string, alreadyStored: boolean): Promise<CancelAnswer> {
+  function mayAccess(job: string, caller: Caller | undefined): boolean {
+    return caller === undefined || maySee(jobs.ownerOf(job), caller)
+  }
+
+  async function cancel(job: string, alreadyStored: boolean, caller?: Caller): Promise<CancelAnswer> {
     // A caller may cancel a job without having waited until it is stored.
     const storing = jobsBeingStored.get(job)
     if (storing && !alreadyStored) await storing
@@ -428,6 +437,7 @@
       earlyCancellations.add(job)
       return "cancelled"
     }
+    if (!mayAccess(job, caller)) return "foreign"
     const active = jobs.active.get(job)
     if (!active) return "ended"
     const stored = jobs.updateProgress(active, {type: "cancelled"})
@@ -468,7 +478,7 @@
     for (const {job, revision, record} of work.progress.values()) {
       ledger.setRevision(progressKey(job), revision)
       if (record?.withdrawn) jobs.addWithdrawn(job, record.writtenAt)
-      else if (record?.outcome) jobs.addEnded(job, record.outcome, record.writtenAt)
+      else if (record?.outcome) jobs.addEnded(job, record.outcome, record.writtenAt, record.owner)
     }
     for (const job of work.jobs) {
       const record = work.progress.get(job.id)?.record
@@ -569,8 +579,12 @@
   async function storeNewJob(job: PipelineJob): Promise<StoreAnswer> {
     const outcome = await ledger.storeJob(job)
     if (outcome === "stored" && !isClosed) addJob(job)
+    if (outcome !== "exists") return outcome
     // An existing job is already in the job table, or the next poll of the store finds it.
-    return outcome === "exists" ? "stored" : outcome
+    if (job.workspace === undefined) return "stored"
+    const read = await store.read(jobKey(job.id))
+    const existing = read.isOk() && read.value ? parseJob(read.value.value) : undefined
+    return existing && isForeign(ownerOf(existing), job) ? "foreign" : "stored"
   }
 
   function close(): void {
@@ -592,7 +606,7 @@
         if (!isClosed && isLoaded) addJob(job)
         return "stored"
       }
-      if (jobs.has(job.id)) return "stored"
+      if (jobs.has(job.id)) return isForeign(jobs.ownerOf(job.id), job) ? "foreign" : "stored"
       const memory = estimateMemory(job)
       if (jobs.memory() + memoryBeingStored + memory > MAX_ACCEPTED_BYTES) {
         log.warn(
@@ -609,7 +623,10 @@
         if (jobsBeingStored.get(job.id) === storing) jobsBeingStored.delete(job.id)
       })
     },
-    stateOf: job => jobs.stateOf(job),
+    stateOf(job, caller) {
+      const state = jobs.stateOf(job)
+      return state !== undefined && !mayAccess(job, caller) ? FOREIGN_STATE : state
+    },
     cancel,
     loads,
     recordFollower: followers.record,
--- a/src/planner/state.ts
+++ b/src/planner/state.ts
@@ -5,6 +5,7 @@
 import type {Milliseconds} from "../core/clock.js"
 import type {Resources} from "../core/resources.js"
 import {add, NO_RESOURCES, subtract} from "../core/resources.js"
+import {ownerOf} from "../pipelines/callers.js"
 import {estimateMemory, maxOpenOccurrences} from "../pipelines/footprint.js"
 import type {PipelineJob, Step, TaskName, WorkerListing} from "../pipelines/model.js"
 import {formatTask} from "../pipelines/model.js"
@@ -209,9 +210,10 @@
   isInherited: boolean,
 ): ActiveJob {
   const completed = progress.completedOccurrences ?? 0
+  const owner = ownerOf(job)
   const active: ActiveJob = {
     job,
-    progress,
+    progress: owner === undefined ? progress : {...progress, owner},
     arrivedAt,
     isInherited,
     hasStarted: completed > 0 || Object.keys(progress.done).length > 0,
--- a/src/platform/frontend.ts
+++ b/src/platform/frontend.ts
@@ -7,13 +7,16 @@
 import type {Milliseconds} from "../core/clock.js"
 import {describeError} from "../core/errors.js"
 import type {Logger} from "../core/logger.js"
+import type {Caller} from "../pipelines/callers.js"
 import {findQueue} from "../pipelines/model.js"
 import type {FleetConfiguration, Queue} from "../pipelines/model.js"
+import type {Authorizer} from "../planner/authorizer.js"
 import type {Intake} from "../planner/intake.js"
 import {readJobRequest} from "./jobrequest.js"
 
 export interface FrontendPorts {
   readonly intake: Intake
+  readonly authorizer: Pick<Authorizer, "check" | "checkAgain">
   readonly configuration: () => FleetConfiguration | undefined
   readonly wallClock: () => Milliseconds
   /** Limit on the record of a job in the store, in bytes. */
@@ -27,6 +30,11 @@
 /** Client timeout for requests without the deadline header. */
 const DEFAULT_CLIENT_TIMEOUT_MS: Milliseconds = 3000
 const MILLISECONDS_PER_SECOND = 1000
+/**
+ * When a caller should retry whose key this instance could not check. Another instance may serve it at once, and this one
+ * soon after the store or the leader answers again.
+ */
+const UNCONFIRMED_RETRY_MS: Milliseconds = 1000
 /** Longer than callers leave a connection idle, so that no request arrives while its connection is being closed. */
 const KEEP_ALIVE_MS: Milliseconds = 65_000
 
@@ -38,6 +46,11 @@
   readonly bodyLimit: number
 }
 
+/** A call on a queue, with the key of its caller; empty without one. */
+interface Call extends Target {
+  readonly key: string
+}
+
 /** The response to a caller. */
 interface Answer {
   readonly status: number
@@ -59,6 +72,17 @@
   return {...refusal(503, "The service is not available now."), headers: {"Retry-After": String(seconds)}}
 }
 
+function readKey(request: IncomingMessage): string {
+  const value = request.headers["x-api-key"]
+  return typeof value === "string" ? value : ""
+}
+
+function denial(reason: "unknown-key" | "unconfirmed"): Answer {
+  return reason === "unknown-key" ? refusal(401, "The key is not known.") : unavailable(UNCONFIRMED_RETRY_MS)
+}
+
+const FOREIGN_JOB = refusal(403, "The job belongs to another workspace.")
+
 /** Reads the whole body. Returns undefined when it is longer than the limit. */
 async function readBody(request: IncomingMessage, limit: number): Promise<string | undefined> {
   const chunks: Buffer[] = []
@@ -83,7 +107,7 @@
 
 /** Creates the server for callers, which is not listening yet. */
 export function createFrontend(ports: FrontendPorts): Server {
-  const {intake, configuration, wallClock, longestRecord, log} = ports
+  const {intake, authorizer, configuration, wallClock, longestRecord, log} = ports
 
   function resolveTarget(request: IncomingMessage): Target | "no-configuration" | "not-found" {
     const current = configuration()
@@ -96,11 +120,15 @@
     return job === "" || JOB_ID.test(job) ? {queue, job, bodyLimit: current.bodyLimit} : "not-found"
   }
 
-  async function submit(request: IncomingMessage, target: Target): Promise<Answer> {
-    const {queue, job: id, bodyLimit} = target
+  async function submit(request: IncomingMessage, call: Call): Promise<Answer> {
+    const {queue, job: id, bodyLimit, key} = call
     const body = await readBody(request, bodyLimit)
     if (body === undefined) return refusal(413, `The body is longer than ${bodyLimit} bytes.`)
-    const job = readJobRequest(body, {id, queue, acceptedAt: wallClock()}, longestRecord)
+    // The body may have taken seconds. Once the job is on its way, no refusal could say that it never runs.
+    const authorization = authorizer.check(queue, key)
+    if (authorization.type === "refused") return denial(authorization.reason)
+    const {workspace} = authorization.caller
+    const job = readJobRequest(body, {id, queue, acceptedAt: wallClock(), workspace}, longestRecord)
     if (job.isErr()) {
       log.info(
         {event: "submit-malformed", job: id, queue: queue.name, problems: job.error},
@@ -111,10 +139,18 @@
     const startedAt = wallClock()
     const answer = await intake.submit(job.value, readClientTimeout(request))
     const took = wallClock() - startedAt
-    log.info({event: "submit", job: id, queue: queue.name, outcome: answer.type, took}, "job submitted")
+    log.info(
+      {event: "submit", job: id, queue: queue.name, workspace, outcome: answer.type, took},
+      "job submitted",
+    )
     switch (answer.type) {
-      case "stored":
-        return {status: 200, body: {}}
+      case "stored": {
+        const {type} = await authorizer.checkAgain(queue, key)
+        // The job is stored, so that the caller may not be told that it never runs.
+        return type === "allowed" ? {status: 200, body: {}} : refusal(504, "The key could not be checked.")
+      }
+      case "foreign":
+        return refusal(409, "Another workspace has a job under this name.")
       case "refused":
         return unavailable(answer.retryAfter)
       case "unknown":
@@ -122,12 +158,12 @@
     }
   }
 
-  async function reportState(target: Target): Promise<Answer> {
-    if (target.job === "") {
-      const pending = intake.pending(target.queue.name)
+  async function reportState({queue, job}: Target, caller: Caller): Promise<Answer> {
+    if (job === "") {
+      const pending = intake.pending(queue.name)
       return pending === undefined ? unavailable(0) : {status: 200, body: {Pending: pending}}
     }
-    const answer = await intake.state(target.job)
+    const answer = await intake.state(job, caller)
     switch (answer.type) {
       case "state":
         return {status: 200, body: {State: answer.state}}
@@ -135,13 +171,15 @@
         return refusal(410, "There is no such job.")
       case "unavailable":
         return unavailable(0)
+      case "foreign":
+        return FOREIGN_JOB
     }
   }
 
-  async function cancel(target: Target): Promise<Answer> {
-    const outcome = await intake.cancel(target.job)
+  async function cancel({queue, job}: Target, caller: Caller): Promise<Answer> {
+    const outcome = await intake.cancel(job, caller)
     log.info(
-      {event: "cancel", job: target.job, queue: target.queue.name, outcome},
+      {event: "cancel", job, queue: queue.name, workspace: caller.workspace, outcome},
       "job cancellation requested",
     )
     switch (outcome) {
@@ -151,17 +189,29 @@
         return refusal(410, "There is no such job.")
       case "unavailable":
         return unavailable(0)
+      case "foreign":
+        return FOREIGN_JOB
     }
   }
 
+  /** Gives an answer only if the call would still be served. */
+  async function checkAnswer({queue, key}: Call, answer: Answer): Promise<Answer> {
+    const {type} = await authorizer.checkAgain(queue, key)
+    return type === "allowed" ? answer : unavailable(UNCONFIRMED_RETRY_MS)
+  }
+
   async function handle(request: IncomingMessage): Promise<Answer> {
     const target = resolveTarget(request)
     if (target === "no-configuration") return unavailable(0)
     if (target === "not-found") return refusal(404, "There is no such queue.")
-    if (request.method === "GET") return reportState(target)
+    const call = {...target, key: readKey(request)}
+    const authorization = authorizer.check(call.queue, call.key)
+    if (authorization.type === "refused") return denial(authorization.reason)
+    const {caller} = authorization
+    if (request.method === "GET") return checkAnswer(call, await reportState(call, caller))
     if (target.job === "") return refusal(405, "Name a job.")
-    if (request.method === "POST") return submit(request, target)
-    if (request.method === "DELETE") return cancel(target)
+    if (request.method === "POST") return submit(request, call)
+    if (request.method === "DELETE") return checkAnswer(call, await cancel(call, caller))
     return refusal(405, "The method is not known here.")
   }
 
--- a/src/platform/jobrequest.ts
+++ b/src/platform/jobrequest.ts
@@ -11,11 +11,12 @@
 /** Limit on the tasks of a step and on the occurrences of a job, so that a request cannot exhaust the memory. */
 const MAX_COUNT = 100_000
 
-/** The properties of a job that come from its path and from the clock instead of the request body. */
+/** The properties of a job that come from its path, its caller and the clock instead of the request body. */
 export interface JobIdentity {
   readonly id: string
   readonly queue: Queue
   readonly acceptedAt: number
+  readonly workspace?: string | undefined
 }
 
 function isWholeNumber(value: unknown, minimum: number): value is number {
--- a/test/fleet/configuration.test.ts
+++ b/test/fleet/configuration.test.ts
@@ -1,15 +1,25 @@
 /** Changes of the operator's configuration reach every instance in time, whatever fails. */
 import test from "ava"
+import type {Clock, Milliseconds} from "../../src/core/clock.js"
 import {sleep} from "../../src/core/clock.js"
 import {SILENT_LOGGER} from "../../src/core/logger.js"
 import {virtualClock} from "../../src/core/virtualclock.js"
+import type {FleetConfiguration} from "../../src/pipelines/model.js"
 import {createConfigurationHolder} from "../../src/planner/configurationholder.js"
 import {createConfigurationUpdater} from "../../src/planner/configurationupdater.js"
 import {fakeStore} from "../support/fakestore.js"
-import {READER, testFleet} from "../support/fleet.js"
+import type {FakeStore} from "../support/fakestore.js"
+import {QUEUE, READER, testFleet} from "../support/fleet.js"
 import type {TestFleet} from "../support/fleet.js"
 
 const APPLY_LIMIT_MS = 3000
+const CONFIGURATION: FleetConfiguration = {
+  version: 1,
+  queues: [QUEUE],
+  services: [],
+  workspaces: [],
+  bodyLimit: 1000,
+}
 
 function versionsOf(fleet: TestFleet) {
   return fleet.names().map(name => fleet.instance(name).configuration()?.version)
@@ -73,36 +83,86 @@
   }
 })
 
-test("a leader that reads an answer late does not call its configuration the newest since then", async t => {
-  const clock = virtualClock(1000)
-  const inner = fakeStore(clock).portFor("entry-1")
-  let suspendedFor = 0
+/** Starts an updater alone, which reads the store's answers with a delay. */
+function startUpdater(clock: Clock, isLeader: boolean, held: FakeStore, delay: () => Milliseconds) {
+  const inner = held.portFor("entry-1")
+  async function late<T>(answer: Promise<T>): Promise<T> {
+    const settled = await answer
+    await sleep(clock, delay())
+    return settled
+  }
   const updater = createConfigurationUpdater({
     clock,
     log: SILENT_LOGGER,
     store: {
       ...inner,
-      async watch(prefix, after, wait) {
-        const answer = await inner.watch(prefix, after, wait)
-        await sleep(clock, suspendedFor)
-        return answer
-      },
+      read: key => late(inner.read(key)),
+      watch: (prefix, after, wait) => late(inner.watch(prefix, after, wait)),
     },
     reader: READER,
     holder: createConfigurationHolder(READER, SILENT_LOGGER, () => undefined),
-    isLeader: () => true,
-    isStoreFailing: () => true,
+    isLeader: () => isLeader,
+    isStoreFailing: () => isLeader,
     askLeader: () => Promise.resolve(""),
+    withdrawalLimit: 0,
   })
   updater.start()
+  return updater
+}
+
+function configuredStore(clock: Clock): FakeStore {
+  const store = fakeStore(clock)
+  store.put(READER.configurationKey, JSON.stringify(CONFIGURATION))
+  return store
+}
+
+test("an instance that reads an answer late does not call its configuration the newest since then", async t => {
+  for (const isLeader of [true, false]) {
+    const clock = virtualClock(1000)
+    let suspendedFor = 0
+    const updater = startUpdater(clock, isLeader, configuredStore(clock), () => suspendedFor)
+    await clock.advance(2000)
+    t.true(updater.age() < (isLeader ? 600 : 1700))
+    suspendedFor = 5000
+    let youngest = Infinity
+    for (let at = 0; at < 9000; at += 50) {
+      await clock.advance(50)
+      if (at > 5000) youngest = Math.min(youngest, updater.age())
+    }
+    t.true(youngest >= 5000, `${youngest}`)
+    updater.stop()
+  }
+})
+
+test("a configuration that cannot be read may be newer, so that the one in force is not confirmed", async t => {
+  for (const isLeader of [true, false]) {
+    const clock = virtualClock(1000)
+    const store = configuredStore(clock)
+    const updater = startUpdater(clock, isLeader, store, () => 0)
+    await clock.advance(2000)
+    store.put(READER.configurationKey, "null")
+    await clock.advance(5000)
+    t.true(updater.age() > 4000, `${updater.age()}`)
+    store.put(READER.configurationKey, JSON.stringify({...CONFIGURATION, version: 2}))
+    await clock.advance(2000)
+    t.true(updater.age() < 2000, `${updater.age()}`)
+    updater.stop()
+  }
+})
+
+test("the age counts a suspension that only the time of day shows, and a process that has just started knows nothing", async t => {
+  const clock = virtualClock(1000)
+  let setForward = 0
+  const skewed: Clock = {...clock, wallClock: () => clock.wallClock() + setForward}
+  const updater = startUpdater(skewed, true, configuredStore(clock), () => 0)
+  t.is(updater.age(), Infinity)
   await clock.advance(2000)
   t.true(updater.age() < 600)
-  suspendedFor = 5000
-  let youngest = Infinity
-  for (let at = 0; at < 7000; at += 50) {
-    await clock.advance(50)
-    if (at > 1500) youngest = Math.min(youngest, updater.age())
-  }
-  t.true(youngest > 1000, `${youngest}`)
+  setForward = 8000
+  t.true(updater.age() >= 8000, "suspended or set forward")
+  await clock.advance(1000)
+  t.true(updater.age() < 600, "confirmed since")
+  setForward = 0
+  t.true(updater.age() < 600, "set back")
   updater.stop()
 })
--- a/test/fleet/connections.test.ts
+++ b/test/fleet/connections.test.ts
@@ -76,14 +76,14 @@
   t.teardown(clients.close)
   const peer = clients.reach(`${LOOPBACK}:${port}`)
   const startedAt = performance.now()
-  const failed = await peer.jobState("first", CALL_TIMEOUT_MS)
+  const failed = await peer.jobState("first", undefined, CALL_TIMEOUT_MS)
   t.true(failed.isErr())
   t.true(performance.now() - startedAt < CALL_TIMEOUT_MS / 2)
 
   Atomics.store(word, 0, 1)
   Atomics.notify(word, 0)
   for (const socket of queued) socket.destroy()
-  t.is((await peer.jobState("second", CALL_TIMEOUT_MS))._unsafeUnwrap(), "state of second")
+  t.is((await peer.jobState("second", undefined, CALL_TIMEOUT_MS))._unsafeUnwrap(), "state of second")
 })
 
 test.serial("a call made while a dead connection is being dropped causes no uncaught exception", async t => {
--- a/test/platform/calls.test.ts
+++ b/test/platform/calls.test.ts
@@ -10,10 +10,12 @@
 import {err, ok} from "neverthrow"
 import {SILENT_LOGGER} from "../../src/core/logger.js"
 import {CallFailed, StoreUnavailable} from "../../src/core/errors.js"
+import type {Authorization} from "../../src/pipelines/callers.js"
 import type {FleetConfiguration} from "../../src/pipelines/model.js"
 import type {Intake} from "../../src/planner/intake.js"
 import {adviceCalls} from "../../src/platform/advicecalls.js"
 import {createFrontend, createStatusServer} from "../../src/platform/frontend.js"
+import type {FrontendPorts} from "../../src/platform/frontend.js"
 import {jsonClient} from "../../src/platform/http.js"
 import {keyValueStore} from "../../src/platform/kvstore.js"
 import {workerCalls} from "../../src/platform/workercalls.js"
@@ -382,6 +384,12 @@
   server.close()
 })
 
+const ALLOWED: Authorization = {type: "allowed", caller: {workspace: undefined}}
+const SERVES_ALL: FrontendPorts["authorizer"] = {
+  check: () => ALLOWED,
+  checkAgain: () => Promise.resolve(ALLOWED),
+}
+
 test("clients are answered by what the instance says of the job", async t => {
   const configuration: FleetConfiguration = {
     version: 1,
@@ -415,6 +423,7 @@
   const server = createFrontend({
     longestRecord: 2 ** 20,
     intake,
+    authorizer: SERVES_ALL,
     configuration: () => held.present,
     wallClock: () => 0,
     log: SILENT_LOGGER,
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -21,6 +21,7 @@
 import type {FakeStore} from "./fakestore.js"
 import {fakeWorkers} from "./fakeworkers.js"
 import type {FakeWorkers, TaskPlan} from "./fakeworkers.js"
+import {createPauses} from "./pauses.js"
 
 const PEER_LATENCY_MS: Milliseconds = 2
 const CLIENT_TIMEOUT_MS: Milliseconds = 3000
@@ -97,7 +98,7 @@
   workerPrefix: "workers/",
   configurationKey: "operator/configuration",
   decodeWorker: (_key, value) => (value === ODD_ENTRY ? undefined : (JSON.parse(value) as WorkerListing)),
-  decodeConfiguration: value => JSON.parse(value) as FleetConfiguration,
+  decodeConfiguration: value => (JSON.parse(value) as FleetConfiguration | null) ?? undefined,
 }
 
 export interface FleetOptions {
@@ -111,6 +112,8 @@
   /** How long the advice service takes for a call that names this many workers; by default 30 ms. */
   readonly adviceTime?: (workers: number) => Milliseconds
   readonly seed?: number
+  /** After this time no call with a withdrawn key may succeed; by default there is no such limit. */
+  readonly withdrawalLimit?: Milliseconds
   /** The processors that each instance may use, by name; 1 by default. */
   readonly processors?: Readonly<Record<string, number>>
 }
@@ -137,6 +140,9 @@
   /** Drops all calls between the two instances, in both directions. */
   readonly partition: (one: string, other: string) => void
   readonly healPartitions: () => void
+  /** Stops the process of the instance, with all that it does and answers. */
+  readonly pause: (name: string) => void
+  readonly resume: (name: string) => void
   /** Keeps the calls and answers that the instance carries as a relay, as if its process was stopped. */
   readonly pauseRelay: (name: string) => void
   readonly resumeRelay: (name: string) => void
@@ -178,6 +184,7 @@
   const running = new Map<string, FleetInstance>()
   const deaths = new Map<FleetInstance, Death>()
   const partitions = new Set<string>()
+  const pauses = createPauses(clock)
   let leaderDelay: Milliseconds = 0
   let incarnations = 0
   let version = 0
@@ -215,10 +222,11 @@
         }
         if (!target) return err(new CallFailed(address, "connection refused", "not-run"))
         const delay = target.counts().leads === 1 ? leaderDelay : 0
-        const work = delay > 0 ? sleep(clock, delay).then(() => act(target.handlers)) : act(target.handlers)
+        const arrived = pauses.hold(name, delay > 0 ? sleep(clock, delay) : Promise.resolve())
+        const work = arrived.then(() => act(target.handlers))
         // Open calls to an instance end when its process does.
         const ended = Promise.race([work, deaths.get(target)?.promise])
-        const answer = await withTimeout(clock, ended, timeout, undefined)
+        const answer = await pauses.hold(caller, withTimeout(clock, ended, timeout, undefined))
         if (answer === undefined || running.get(name) !== target)
           return err(new CallFailed(address, "no answer", "unknown"))
         return ok(answer)
@@ -226,8 +234,9 @@
       return {
         ping: (ping, timeout) => call(handlers => handlers.ping(ping), timeout),
         storeJob: (record, stored, timeout) => call(handlers => handlers.storeJob(record, stored), timeout),
-        jobState: (job, timeout) => call(handlers => handlers.jobState(job), timeout),
-        cancelJob: (job, stored, timeout) => call(handlers => handlers.cancelJob(job, stored), timeout),
+        jobState: (job, client, timeout) => call(handlers => handlers.jobState(job, client), timeout),
+        cancelJob: (job, stored, client, timeout) =>
+          call(handlers => handlers.cancelJob(job, stored, client), timeout),
         ask: async (step, names, timeout) => {
           const answer = await call(
             async handlers => ({permits: await handlers.ask(step, names, timeout)}),
@@ -274,13 +283,14 @@
         incarnation: `life-${incarnations}`,
         seeds: names.map(addressOf),
         longestLease: 10_000,
+        withdrawalLimit: options.withdrawalLimit ?? 0,
       },
       {
-        clock,
+        clock: pauses.clockOf(name),
         random: seededRandom((options.seed ?? 1) + incarnations),
         log: logOf(name),
-        store: store.portFor(name),
-        probeStore: () => store.portFor(name).read("probe"),
+        store: pauses.storeOf(name, store.portFor(name)),
+        probeStore: () => pauses.hold(name, store.portFor(name).read("probe")),
         reader: READER,
         workers: workers.callsFor(name),
         advice: adviceOf(name),
@@ -350,6 +360,8 @@
     start,
     partition: (one, other) => void partitions.add(`${one} ${other}`),
     healPartitions: () => partitions.clear(),
+    pause: pauses.pause,
+    resume: pauses.resume,
     pauseRelay: channels.pause,
     resumeRelay: channels.resume,
     delayLeader(delay) {
