A specification of the withdrawal of keys, with five defects

Cause: whether a key is served too long depends on how ages of confirmations add up over unread answers, a leader in between and suspended machines, which tests show only at chosen moments.

--- a/spec/defects.ts
+++ b/spec/defects.ts
@@ -2,7 +2,7 @@
 
 export interface Defect {
   readonly name: string
-  readonly specification: "holder" | "tasks" | "relays"
+  readonly specification: "holder" | "tasks" | "relays" | "withdrawal"
   readonly find: string
   readonly replace: string
   /** The invariant that must fail. */
@@ -137,4 +137,39 @@
     replace: "val isMeant = true",
     invariant: "noEndIsLost",
   },
+  {
+    name: "a confirmation counts from the receipt of its answer",
+    specification: "withdrawal",
+    find: "val at = call.sentAt - call.age",
+    replace: "val at = clocks.get(p) - call.age",
+    invariant: "neverServedLate",
+  },
+  {
+    name: "a follower does not add the age that the leader tells",
+    specification: "withdrawal",
+    find: "val at = call.sentAt - call.age",
+    replace: "val at = call.sentAt",
+    invariant: "neverServedLate",
+  },
+  {
+    name: "a suspension does not count",
+    specification: "withdrawal",
+    find: "clocks' = clocks.set(p, clocks.get(p) + missed.get(p)),",
+    replace: "clocks' = clocks,",
+    invariant: "neverServedLate",
+  },
+  {
+    name: "a new process takes the configuration that it is given for confirmed",
+    specification: "withdrawal",
+    find: "confirmedAt' = confirmedAt.set(p, NEVER),",
+    replace: "confirmedAt' = confirmedAt.set(p, clocks.get(p)),",
+    invariant: "neverServedLate",
+  },
+  {
+    name: "an answer with an older version confirms a newer one",
+    specification: "withdrawal",
+    find: "versions' = if (call.version > versions.get(p)) versions.set(p, call.version) else versions,",
+    replace: "versions' = versions.set(p, call.version),",
+    invariant: "neverServedLate",
+  },
 ]
--- a/spec/run.ts
+++ b/spec/run.ts
@@ -8,7 +8,7 @@
 import type {Defect} from "./defects.js"
 
 interface Specification {
-  readonly name: "holder" | "tasks" | "relays"
+  readonly name: "holder" | "tasks" | "relays" | "withdrawal"
   readonly invariants: readonly string[]
   readonly witnesses: readonly string[]
   readonly samples: number
@@ -43,6 +43,13 @@
     samples: 3000,
     steps: 40,
   },
+  {
+    name: "withdrawal",
+    invariants: ["neverServedLate"],
+    witnesses: ["stopsUnaware", "servesOnTheLeadersWord"],
+    samples: 3000,
+    steps: 50,
+  },
 ]
 
 const SEEDS: readonly string[] = ["1", "2"]
