The soak's callers send keys, and try those that were taken away

Cause: nothing checked from outside, on real processes under faults, that a withdrawn key ends in time and one that stays is always known.

--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -4,6 +4,8 @@
 import type {Random} from "../../src/core/random.js"
 import type {FakeWorkers} from "../support/fakeworkers.js"
 import type {SoakInstance} from "./instances.js"
+import {STEADY_KEY} from "./keys.js"
+import type {SoakKeys} from "./keys.js"
 
 export interface SoakJob {
   readonly id: string
@@ -65,6 +67,7 @@
   instances: readonly SoakInstance[],
   workers: FakeWorkers,
   random: Random,
+  keys: SoakKeys,
   faults: string[],
 ): Callers {
   const jobs: SoakJob[] = []
@@ -77,6 +80,7 @@
     method: "GET" | "POST" | "DELETE",
     path: string,
     body: string,
+    key = STEADY_KEY,
   ): Promise<Reply | undefined> {
     const agent = agents.get(instance.name) ?? new Agent({keepAlive: true, maxSockets: CALLERS})
     agents.set(instance.name, agent)
@@ -85,11 +89,14 @@
     const wasStopping = instance.phase() === "stopping"
     return new Promise(resolve => {
       let sentAt = Infinity
-      const headers = {host: HOST, "x-lacewingstream-deadline-ms": String(PATIENCE_MS)}
+      const headers = {host: HOST, "x-lacewingstream-deadline-ms": String(PATIENCE_MS), "x-api-key": key}
+      const calledAt = performance.now()
       const request = httpRequest({agent, method, host, port: Number(port), path, headers})
       const timer = setTimeout(() => request.destroy(new Error("patience")), PATIENCE_MS)
       const end = (reply: Reply | undefined): void => {
         clearTimeout(timer)
+        const fault = reply && keys.findFault(key, calledAt, reply.status)
+        if (fault !== undefined) faults.push(`${instance.name} ${fault}`)
         resolve(reply)
       }
       request.once("finish", () => {
@@ -212,6 +219,7 @@
     if (random.next() < CANCEL_SHARE && !isLeaving) await cancel(job)
     await pause(random.below(900))
     await stateAt(pickInstance(), job)
+    await call(pickInstance(), "GET", PREFIX, "", keys.pick())
   }
 
   async function use(): Promise<void> {
--- a/test/soak/instances.ts
+++ b/test/soak/instances.ts
@@ -5,6 +5,7 @@
 import {join} from "node:path"
 import type {Milliseconds} from "../../src/core/clock.js"
 import {pause} from "./callers.js"
+import {WITHDRAWAL_LIMIT_MS} from "./keys.js"
 
 export interface InstanceAddresses {
   readonly callers: string
@@ -52,6 +53,7 @@
     `[peers]\naddress = ${addresses.peers}\nseeds = ${addresses.seeds.join(",")}`,
     `[platform]\nstore = ${addresses.store}\nadvice = ${addresses.advice}`,
     "[limits]\nlongest_lease = 10s\nstop_grace = 6s",
+    `[keys]\nstrict_withdrawal = true\nwithdrawal_limit = ${WITHDRAWAL_LIMIT_MS}ms`,
     "",
   ].join("\n")
 }
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -19,6 +19,7 @@
 import {overload, watchWaits} from "./overload.js"
 import {soakInstance} from "./instances.js"
 import type {SoakInstance} from "./instances.js"
+import {createSoakKeys} from "./keys.js"
 import {serveAdvice, serveStore, serveWorker} from "./platformserver.js"
 import type {SoakServer} from "./platformserver.js"
 import {openProxy} from "./proxy.js"
@@ -93,7 +94,7 @@
   })
 }
 
-function configurationText(version: number): string {
+function configurationText(version: number, keys: readonly string[]): string {
   const queue = {Host: "soak.example", Service: "crease", Attempts: 3, SlackFactor: 1.5, TargetLatencyMs: 250}
   return JSON.stringify({
     Version: version,
@@ -102,6 +103,7 @@
       {...queue, Name: "versioned", Prefix: `/version-${version}/`, Priority: 1},
     ],
     Services: [{Name: "crease"}],
+    Tenants: [{Name: "soak", ApiKeys: keys}],
     Limits: {MaxBodyBytes: 100_000},
   })
 }
@@ -254,10 +256,11 @@
     workers.addWorker(listingOf(name, {address}))
     register(name)
   }
+  const keys = createSoakKeys(seededRandom(seed))
   let version = 0
   const configure = (): void => {
     version += 1 + random.below(3)
-    store.put("op/config", configurationText(version))
+    store.put("op/config", configurationText(version, keys.replace()))
   }
   configure()
 
@@ -285,7 +288,7 @@
     )
   }
 
-  const callers = createCallers(instances, workers, random, faults)
+  const callers = createCallers(instances, workers, random, keys, faults)
   const crash = (worker: string): void => {
     workers.crash(worker)
     workerServers.get(worker)?.endConnections()
