--- a/src/core/resources.ts
+++ b/src/core/resources.ts
@@ -36,6 +36,11 @@
   }
 }
 
+/** Returns whether there is nothing of any resource, apart from rounding errors. */
+export function isNothing({processors, memoryMebibytes, accelerators}: Resources): boolean {
+  return Math.max(processors, memoryMebibytes, accelerators) <= ROUNDING_TOLERANCE
+}
+
 /** Returns whether the demand fits into the free resources in every dimension. */
 export function fits(demand: Resources, free: Resources): boolean {
   return (
@@ -64,6 +69,11 @@
   )
 }
 
+/** Returns the dominant share of a user with the weight, relative to that of users with weight 1. */
+export function weightedShare(usage: Resources, whole: Resources, weight: number): number {
+  return dominantShare(usage, whole) / weight
+}
+
 export function componentwiseMax(one: Resources, other: Resources): Resources {
   return {
     processors: Math.max(one.processors, other.processors),
--- a/src/pipelines/order.ts
+++ b/src/pipelines/order.ts
@@ -1,8 +1,10 @@
 /**
- * The order in which waiting steps are given workers: by queue priority, then by lateness against the latency objective
- * of the job, then by due time and arrival.
+ * The order in which waiting steps are given workers: by queue priority, then those of workspaces within their fair
+ * share, then by lateness against the latency objective of the job, then by due time and arrival.
  */
 import type {Milliseconds} from "../core/clock.js"
+import {WITHIN_SHARE} from "./fairshare.js"
+import type {ShareRank} from "./fairshare.js"
 import type {PipelineJob, Queue} from "./model.js"
 
 /**
@@ -33,6 +35,8 @@
   readonly work: number
   /** Instant at which the job arrived or its occurrence fell due. */
   readonly arrived: Milliseconds
+  /** The rank by the fair share of the workspace; see `ShareRank`. Undefined while there is enough for all. */
+  readonly shareRank?: ShareRank | undefined
 }
 
 /** A completion counts until this multiple of the latency objective has passed since arrival. */
@@ -53,6 +57,8 @@
 export function compareWaitingSteps(one: WaitingStep, other: WaitingStep, now: Milliseconds): number {
   return (
     one.priority - other.priority ||
+    Number(isTooLate(one, now)) - Number(isTooLate(other, now)) ||
+    (one.shareRank ?? WITHIN_SHARE) - (other.shareRank ?? WITHIN_SHARE) ||
     latenessRank(one, now) - latenessRank(other, now) ||
     one.due - other.due ||
     one.arrived - other.arrived
--- a/src/planner/intake.ts
+++ b/src/planner/intake.ts
@@ -5,6 +5,7 @@
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
 import {sleep, withTimeout} from "../core/clock.js"
+import {hash32} from "../core/hash.js"
 import type {Logger} from "../core/logger.js"
 import {FOREIGN_STATE} from "../peer/fleet.js"
 import type {CancelAnswer, FleetClients, QueueLoad, StoreAnswer} from "../peer/fleet.js"
@@ -83,6 +84,8 @@
 const RETRY_AFTER_MS: Milliseconds = 2000
 /** The same where accepted jobs have to end first. */
 const OVER_CAPACITY_RETRY_MS: Milliseconds = 10_000
+/** Jobs that are refused together come back within this time after that one, not all at once. */
+const RETRY_SPREAD_MS: Milliseconds = 10_000
 /**
  * Limit on the memory that jobs stored by this instance without the leader take there, until the leader has stored one,
  * since only the leader knows how much it can still hold.
@@ -106,6 +109,10 @@
   return (stored && ownerOf(stored)) ?? (progress && parseProgress(progress.value)?.owner)
 }
 
+function spreadRetry(job: string): Milliseconds {
+  return OVER_CAPACITY_RETRY_MS + (hash32(job) % RETRY_SPREAD_MS)
+}
+
 export function createIntake(ports: IntakePorts): Intake {
   const {clock, log, store, clients, leadership, planner, loads} = ports
   /** Memory of the jobs that were stored without the leader since it last stored one. */
@@ -199,7 +206,7 @@
     if (outcome === "unknown" || outcome === "foreign") return {type: outcome}
     return {
       type: "refused",
-      retryAfter: outcome === "over-capacity" ? OVER_CAPACITY_RETRY_MS : RETRY_AFTER_MS,
+      retryAfter: outcome === "over-capacity" ? spreadRetry(job.id) : RETRY_AFTER_MS,
     }
   }
 
