Advice calls say where their time went

The line of each call had only its total time, which does not tell a busy leader from a busy instance or a service that still works on another call. The instance now reports how long the service took, and the leader logs the instance, the wait in its queue, the round trip and the time at the service. The request names term, priority and expected duration for the instance.

--- a/src/peer/fleet.ts
+++ b/src/peer/fleet.ts
@@ -82,6 +82,28 @@
   readonly ticket: string
 }
 
+/** A call to the advice service that the leader asks another instance to make. */
+export interface AdviceQuestion {
+  readonly step: string
+  readonly workers: readonly string[]
+  readonly timeoutMs: Milliseconds
+  /** The term of the leader that asks. */
+  readonly term: number
+  /** Calls with a lower number are made first. */
+  readonly priority: number
+  /** How long the advice service is expected to work on the call. */
+  readonly durationMs: Milliseconds
+}
+
+export interface AdviceReply {
+  /** Undefined if the advice service gave no answer. */
+  readonly permits: readonly PermitRow[] | undefined
+  /** How long the call waited at the instance for its turn. */
+  readonly queuedMs: Milliseconds
+  /** Time until the advice service answered, or until the instance gave up. */
+  readonly serviceMs: Milliseconds
+}
+
 /** Implementation of the calls that an instance serves to its peers. */
 export interface FleetHandlers {
   readonly ping: (ping: Ping) => PingAnswer
@@ -91,12 +113,8 @@
   readonly jobState: (job: string) => string
   /** Cancels a job. With `alreadyStored` the cancellation is in the store already and is only applied. */
   readonly cancelJob: (job: string, alreadyStored: boolean) => Promise<CancelAnswer>
-  /** Asks the advice service for permits of a step on the given workers; undefined if it did not answer. */
-  readonly ask: (
-    step: string,
-    workers: readonly string[],
-    timeout: Milliseconds,
-  ) => Promise<readonly PermitRow[] | undefined>
+  /** Asks the advice service for permits of a step on the given workers. */
+  readonly ask: (question: AdviceQuestion) => Promise<AdviceReply>
   /** Asks the instance to become leader after the leader of `term`; true if it accepts. */
   readonly takeOver: (term: number) => boolean
   /** The configuration in force as its text in the store; empty if there is none. */
@@ -121,11 +139,7 @@
     alreadyStored: boolean,
     timeout: Milliseconds,
   ) => Promise<Result<CancelAnswer, CallFailed>>
-  readonly ask: (
-    step: string,
-    workers: readonly string[],
-    timeout: Milliseconds,
-  ) => Promise<Result<readonly PermitRow[] | undefined, CallFailed>>
+  readonly ask: (question: AdviceQuestion) => Promise<Result<AdviceReply, CallFailed>>
   readonly takeOver: (term: number, timeout: Milliseconds) => Promise<Result<boolean, CallFailed>>
   readonly configuration: (timeout: Milliseconds) => Promise<Result<string, CallFailed>>
   /** Opens a channel over which the instance carries calls of this term to workers. */
@@ -205,11 +219,11 @@
         const {outcome} = await client.cancelJob({job, alreadyStored}, {timeoutMs})
         return CANCEL_ANSWERS.has(outcome) ? (outcome as CancelAnswer) : "not-stored"
       }),
-    ask: (step, workers, timeout) =>
+    ask: question =>
       runCall(async () => {
-        const request = {step, workers: [...workers], timeoutMs: timeout}
-        const reply = await client.ask(request, {timeoutMs: timeout + ASK_TIMEOUT_MARGIN_MS})
-        return reply.answered ? reply.permits : undefined
+        const request = {...question, workers: [...question.workers]}
+        const reply = await client.ask(request, {timeoutMs: question.timeoutMs + ASK_TIMEOUT_MARGIN_MS})
+        return {...reply, permits: reply.answered ? reply.permits : undefined}
       }),
     takeOver: (term, timeoutMs) => runCall(async () => (await client.takeOver({term}, {timeoutMs})).accepted),
     configuration: timeoutMs => runCall(async () => (await client.configuration({}, {timeoutMs})).value),
@@ -267,9 +281,14 @@
         const outcome = await handlers.cancelJob(job, alreadyStored)
         return {outcome: outcome === "not-stored" ? "" : outcome}
       },
-      async ask({step, workers, timeoutMs}) {
-        const permits = await handlers.ask(step, workers, timeoutMs)
-        return {answered: permits !== undefined, permits: [...(permits ?? [])]}
+      async ask(question) {
+        const {permits, queuedMs, serviceMs} = await handlers.ask(question)
+        return {
+          answered: permits !== undefined,
+          permits: [...(permits ?? [])],
+          queuedMs: Math.round(queuedMs),
+          serviceMs: Math.round(serviceMs),
+        }
       },
       takeOver: ({term}) => ({accepted: handlers.takeOver(term)}),
       configuration: () => ({value: handlers.configuration()}),
--- a/src/planner/advicedispatcher.ts
+++ b/src/planner/advicedispatcher.ts
@@ -5,6 +5,7 @@
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
+import type {AdviceQuestion, AdviceReply} from "../peer/fleet.js"
 import type {Permit} from "../pipelines/ports.js"
 
 /** An instance that can call the advice service. */
@@ -12,12 +13,21 @@
   readonly name: string
   /** Processing power that the instance may use, in processors of normal speed. */
   readonly processors: number
-  /** Resolves to undefined when the service gave no answer. */
-  readonly requestAdvice: (
-    step: string,
-    workers: readonly string[],
-    timeout: Milliseconds,
-  ) => Promise<readonly Permit[] | undefined>
+  /** Resolves to undefined when the instance gave no answer. */
+  readonly requestAdvice: (question: AdviceQuestion) => Promise<AdviceReply | undefined>
+}
+
+/** Where the time of a call went, in milliseconds. */
+export interface AdviceWaits {
+  readonly instance: string
+  /** Until an instance was free. */
+  readonly queued: Milliseconds
+  /** From sending the call to the instance until its answer was read. */
+  readonly roundTrip: Milliseconds
+  /** At the instance, until its turn at the service. */
+  readonly turn: Milliseconds
+  /** At the service, as the instance saw it. */
+  readonly service: Milliseconds
 }
 
 export interface AdviceRequest {
@@ -33,7 +43,11 @@
    * Called once; with undefined when the call failed or the request was dropped as no longer wanted. The service has
    * decided at `decidedAt` or later.
    */
-  readonly onAnswer: (permits: readonly Permit[] | undefined, decidedAt: Milliseconds) => void
+  readonly onAnswer: (
+    permits: readonly Permit[] | undefined,
+    decidedAt: Milliseconds,
+    waits: AdviceWaits | undefined,
+  ) => void
 }
 
 export interface AdviceDispatcher {
@@ -50,13 +64,19 @@
 /** How long an instance is not used after a failed call. */
 const AVOID_AFTER_FAILURE_MS: Milliseconds = 1000
 
-/** Creates a dispatcher. `listRequesters` returns the instances that are available at present. */
+interface QueuedRequest {
+  readonly request: AdviceRequest
+  readonly submittedAt: Milliseconds
+}
+
+/** Creates a dispatcher of the leader of the term. `listRequesters` returns the instances that are available at present. */
 export function createAdviceDispatcher(
   clock: Clock,
   log: Logger,
+  term: number,
   listRequesters: () => readonly AdviceRequester[],
 ): AdviceDispatcher {
-  const queue: AdviceRequest[] = []
+  const queue: QueuedRequest[] = []
   /** For each instance with a call in flight, by name, whether that call is a long one. */
   const isLongCallByInstance = new Map<string, boolean>()
   const avoidedUntil = new Map<string, Milliseconds>()
@@ -70,11 +90,11 @@
   }
 
   /** Removes the most urgent request from the queue; the oldest of equal ones. */
-  function takeNext(mayBeLong: boolean): AdviceRequest | undefined {
+  function takeNext(mayBeLong: boolean): QueuedRequest | undefined {
     let found = -1
-    queue.forEach((request, index) => {
+    queue.forEach(({request}, index) => {
       if (!mayBeLong && request.duration > LONG_CALL_MS) return
-      if (found < 0 || request.priority < (queue[found]?.priority ?? 0)) found = index
+      if (found < 0 || request.priority < (queue[found]?.request.priority ?? 0)) found = index
     })
     return found < 0 ? undefined : queue.splice(found, 1)[0]
   }
@@ -85,14 +105,19 @@
     return long < Math.max(1, total - Math.max(1, Math.floor(total / INSTANCES_PER_SHORT_CALL_SLOT)))
   }
 
-  async function send(requester: AdviceRequester, request: AdviceRequest): Promise<void> {
+  async function send(requester: AdviceRequester, {request, submittedAt}: QueuedRequest): Promise<void> {
     isLongCallByInstance.set(requester.name, request.duration > LONG_CALL_MS)
     const sentAt = clock.now()
-    const permits = await requester.requestAdvice(
-      request.step,
-      request.workers,
-      request.duration + ANSWER_SLACK_MS,
-    )
+    const {step, workers, priority, duration} = request
+    const reply = await requester.requestAdvice({
+      step,
+      workers,
+      timeoutMs: duration + ANSWER_SLACK_MS,
+      term,
+      priority,
+      durationMs: duration,
+    })
+    const permits = reply?.permits
     isLongCallByInstance.delete(requester.name)
     if (!permits) {
       avoidedUntil.set(requester.name, clock.now() + AVOID_AFTER_FAILURE_MS)
@@ -102,18 +127,24 @@
         "the advice service did not answer",
       )
     }
-    request.onAnswer(permits, Math.min(clock.now(), sentAt + request.duration))
+    request.onAnswer(permits, Math.min(clock.now(), sentAt + request.duration), {
+      instance: requester.name,
+      queued: Math.round(sentAt - submittedAt),
+      roundTrip: Math.round(clock.now() - sentAt),
+      turn: Math.round(reply?.queuedMs ?? 0),
+      service: Math.round(reply?.serviceMs ?? 0),
+    })
     dispatch()
   }
 
   /** Like `takeNext`, but drops requests that are no longer wanted. */
-  function takeNextWanted(): AdviceRequest | undefined {
-    let request = takeNext(mayStartLongCall())
-    while (request && !request.isWanted()) {
-      request.onAnswer(undefined, clock.now())
-      request = takeNext(mayStartLongCall())
+  function takeNextWanted(): QueuedRequest | undefined {
+    let queued = takeNext(mayStartLongCall())
+    while (queued && !queued.request.isWanted()) {
+      queued.request.onAnswer(undefined, clock.now(), undefined)
+      queued = takeNext(mayStartLongCall())
     }
-    return request
+    return queued
   }
 
   /**
@@ -124,16 +155,16 @@
     if (queue.length === 0) return
     const free = [...findAvailable()].sort((one, other) => other.processors - one.processors)
     while (free.length > 0) {
-      const request = takeNextWanted()
-      if (!request) return
-      const requester = request.duration > LONG_CALL_MS ? free.pop() : free.shift()
-      if (requester) void send(requester, request)
+      const queued = takeNextWanted()
+      if (!queued) return
+      const requester = queued.request.duration > LONG_CALL_MS ? free.pop() : free.shift()
+      if (requester) void send(requester, queued)
     }
   }
 
   return {
     submit(request) {
-      queue.push(request)
+      queue.push({request, submittedAt: clock.now()})
       dispatch()
     },
     countIdle: () => findAvailable().length - queue.length,
--- a/src/planner/instance.ts
+++ b/src/planner/instance.ts
@@ -7,7 +7,16 @@
 import {sleep} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
 import type {Random} from "../core/random.js"
-import type {FleetClients, FleetHandlers, Member, Ping, PingAnswer, QueueLoad} from "../peer/fleet.js"
+import type {
+  AdviceQuestion,
+  AdviceReply,
+  FleetClients,
+  FleetHandlers,
+  Member,
+  Ping,
+  PingAnswer,
+  QueueLoad,
+} from "../peer/fleet.js"
 import type {FleetConfiguration} from "../pipelines/model.js"
 import type {AdviceCalls, FleetReader, KeyValueStore, WorkerCalls} from "../pipelines/ports.js"
 import type {AdviceRequester} from "./advicedispatcher.js"
@@ -147,23 +156,24 @@
     }
   }
 
-  async function ask(
-    step: string,
-    workers: readonly string[],
-    timeout: Milliseconds,
-  ): ReturnType<FleetHandlers["ask"]> {
-    const answer = await advice.ask(step, workers, timeout)
+  async function ask({step, workers, timeoutMs}: AdviceQuestion): Promise<AdviceReply> {
+    const askedAt = clock.now()
+    const answer = await advice.ask(step, workers, timeoutMs)
+    const serviceMs = clock.now() - askedAt
     if (answer.isErr())
-      log.warn({event: "advice-error", step, reason: answer.error.message}, "a request for advice failed")
-    return answer.unwrapOr(undefined)
+      log.warn(
+        {event: "advice-error", step, took: Math.round(serviceMs), reason: answer.error.message},
+        "a request for advice failed",
+      )
+    return {permits: answer.unwrapOr(undefined), queuedMs: 0, serviceMs}
   }
 
   function askerOf(member: Member): AdviceRequester {
     if (member.name === identity.member.name) return {...member, requestAdvice: ask}
     return {
       ...member,
-      async requestAdvice(step, workers, timeout) {
-        const answer = await clients.reach(member.address).ask(step, workers, timeout)
+      async requestAdvice(question) {
+        const answer = await clients.reach(member.address).ask(question)
         return answer.unwrapOr(undefined)
       },
     }
--- a/src/planner/starting.ts
+++ b/src/planner/starting.ts
@@ -141,11 +141,11 @@
       priority: queue.priority,
       duration: adviceCallDuration(terms, workers.length),
       isWanted: () => !context.isClosed() && run.waiting.size > 0 && run.owner.progress.outcome === undefined,
-      onAnswer(permits, decidedAt) {
+      onAnswer(permits, decidedAt, waits) {
         const took = Math.round(clock.now() - requestedAt)
         const [asked, allowed] = [workers.length, permits?.length]
         log.info(
-          {event: "advice", step: run.name, queue: queue.name, asked, allowed, took},
+          {event: "advice", step: run.name, queue: queue.name, asked, allowed, took, ...waits},
           "call to the advice service ended",
         )
         applyAdvice(run, terms, workers, permits, decidedAt)
--- a/test/fleet/adviser.test.ts
+++ b/test/fleet/adviser.test.ts
@@ -3,7 +3,7 @@
 import {virtualClock} from "../../src/core/virtualclock.js"
 import {sleep} from "../../src/core/clock.js"
 import {SILENT_LOGGER} from "../../src/core/logger.js"
-import type {Permit} from "../../src/pipelines/ports.js"
+import type {AdviceReply} from "../../src/peer/fleet.js"
 import {createAdviceDispatcher} from "../../src/planner/advicedispatcher.js"
 import type {AdviceRequester, AdviceRequest} from "../../src/planner/advicedispatcher.js"
 
@@ -14,13 +14,14 @@
     return {
       name: `entry-${index}`,
       processors: 1,
-      async requestAdvice(step): Promise<readonly Permit[] | undefined> {
+      async requestAdvice({step}): Promise<AdviceReply> {
         await sleep(clock, duration)
-        return isFailing() ? undefined : [{worker: "w", ticket: step}]
+        const permits = isFailing() ? undefined : [{worker: "w", ticket: step}]
+        return {permits, queuedMs: 0, serviceMs: duration}
       },
     }
   })
-  const dispatcher = createAdviceDispatcher(clock, SILENT_LOGGER, () => requesters)
+  const dispatcher = createAdviceDispatcher(clock, SILENT_LOGGER, 1, () => requesters)
   const submit = (step: string, rest: Partial<AdviceRequest> = {}): void =>
     dispatcher.submit({
       step,
@@ -62,13 +63,13 @@
     return {
       name: `processors ${processors}`,
       processors,
-      requestAdvice(step) {
+      requestAdvice({step}) {
         asked.push(`${step} at ${processors}`)
         return new Promise(() => undefined)
       },
     }
   })
-  const dispatcher = createAdviceDispatcher(virtualClock(), SILENT_LOGGER, () => members)
+  const dispatcher = createAdviceDispatcher(virtualClock(), SILENT_LOGGER, 1, () => members)
   const request = {workers: ["w"], priority: 0, isWanted: () => true, onAnswer: () => undefined}
   dispatcher.submit({...request, step: "long", duration: 900})
   dispatcher.submit({...request, step: "short", duration: 30})
--- a/test/fleet/connections.test.ts
+++ b/test/fleet/connections.test.ts
@@ -31,7 +31,7 @@
   storeJob: () => Promise.resolve("stored"),
   jobState: job => `state of ${job}`,
   cancelJob: () => Promise.resolve("cancelled"),
-  ask: () => Promise.resolve(undefined),
+  ask: () => Promise.resolve({permits: undefined, queuedMs: 0, serviceMs: 0}),
   takeOver: () => false,
   configuration: () => "",
   acceptChannel: () => ({receive: () => undefined, onClosed: () => undefined}),
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -228,13 +228,7 @@
         storeJob: (record, stored, timeout) => call(handlers => handlers.storeJob(record, stored), timeout),
         jobState: (job, timeout) => call(handlers => handlers.jobState(job), timeout),
         cancelJob: (job, stored, timeout) => call(handlers => handlers.cancelJob(job, stored), timeout),
-        ask: async (step, names, timeout) => {
-          const answer = await call(
-            async handlers => ({permits: await handlers.ask(step, names, timeout)}),
-            timeout,
-          )
-          return answer.map(({permits}) => permits)
-        },
+        ask: question => call(handlers => handlers.ask(question), question.timeoutMs),
         takeOver: (term, timeout) => call(handlers => handlers.takeOver(term), timeout),
         configuration: timeout => call(handlers => handlers.configuration(), timeout),
         openChannel: (term, listener) =>
