The fittest live instance succeeds a leader that failed

The first instance to find the leader dead claimed, unless it had less than half a processor. On a fleet with narrow links these were often processes that had just restarted, or instances whose link carries less than the start orders of the fleet. An instance now stands back for a fitter one that accepts, and a leader hands over to one with clearly more power while nothing waits. Fitness counts processors, the link and whether the process is warm.

--- a/src/cli/daemon.ts
+++ b/src/cli/daemon.ts
@@ -59,6 +59,7 @@
         name: settings.instance,
         address: settings.peerAddress,
         processors: settings.processors,
+        linkMegabits: settings.linkMegabits,
       },
       incarnation,
       seeds: seedAddresses(settings),
--- a/src/peer/fleet.ts
+++ b/src/peer/fleet.ts
@@ -20,6 +20,10 @@
   readonly address: string
   /** Capacity that the instance may use, in processors of standard speed. */
   readonly processors: number
+  /** Megabits a second that its link carries; 0 or undefined if that is not known. */
+  readonly linkMegabits?: number
+  /** It has been up and in touch with a leader for some seconds. */
+  readonly isWarm?: boolean
 }
 
 /** Load of one queue. It is part of each ping answer, so that every instance can answer callers. */
@@ -64,6 +68,8 @@
   readonly members: readonly Member[] | undefined
   /** The digest of the leader's list of members; 0 at other instances. */
   readonly membersDigest: number
+  /** The members most fit to lead that the instance knows of; only for a sender that has no list of members. */
+  readonly fittest: readonly Member[]
   /** The counts of the instance as the leader; undefined when it has none. */
   readonly queues: CountedLoads | undefined
   /** How long the leader has come no further in reading its work; 0 once it has read it, or if it does not lead. */
@@ -266,6 +272,7 @@
           loadingMs: Math.ceil(answer.loadingMs),
           configurationAgeMs: Math.ceil(answer.configurationAgeMs),
           members: [...(answer.members ?? [])],
+          fittest: [...answer.fittest],
           queues: (answer.queues?.loads ?? []).map(queue => ({
             ...queue,
             retryAfterMs: Math.round(queue.retryAfterMs),
--- a/src/planner/instance.ts
+++ b/src/planner/instance.ts
@@ -109,6 +109,7 @@
       updater.recordLeaderVersion(answer.configurationVersion, answer.configurationAgeMs, sentAt)
     },
     isStoreFailing: () => storeHealth.failingFor() > 0,
+    duty: () => planner?.duty() ?? {plannedFor: 0, openSteps: 0},
   })
   const updater = createConfigurationUpdater({
     clock,
@@ -207,6 +208,7 @@
       configurationAgeMs: Math.min(updater.age(), 1e6),
       members: list?.digest === membersDigest ? undefined : list?.members,
       membersDigest: list?.digest ?? 0,
+      fittest: membersDigest === 0 ? leadership.fittest() : [],
       queues: planner?.loads(),
       loadingMs: planner?.loadingFor() ?? 0,
       clockMs: clock.now(),
--- a/src/planner/leadership.ts
+++ b/src/planner/leadership.ts
@@ -7,12 +7,21 @@
  * them has heard it.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
-import {sleep} from "../core/clock.js"
+import {sleep, withTimeout} from "../core/clock.js"
 import type {Random} from "../core/random.js"
 import {shuffled} from "../core/random.js"
 import type {Logger} from "../core/logger.js"
 import type {FleetClients, Member, Ping, PingAnswer} from "../peer/fleet.js"
 import type {KeyValueStore, StoredItem} from "../pipelines/ports.js"
+import type {LeaderDuty} from "../pipelines/succession.js"
+import {
+  findFitter,
+  findSuccessors,
+  isWarmAfter,
+  isWeak,
+  leadingPower,
+  rankByFitness,
+} from "../pipelines/succession.js"
 import {createMembers} from "./members.js"
 import {describeFormerTerm, NO_FORMER_TERM} from "./earlierleaders.js"
 import type {FormerTerm} from "./records.js"
@@ -43,6 +52,21 @@
   readonly onLeaderAnswer: (answer: PingAnswer, sentAt: Milliseconds) => void
   /** True while calls of this instance to the store fail or are late. */
   readonly isStoreFailing: () => boolean
+  /** How busy this instance is as the leader. */
+  readonly duty: () => LeaderDuty
+}
+
+/** What the other instances say of a silent leader. */
+interface PeerVerdict {
+  readonly verdict: "heard" | "silent" | "isolated"
+  readonly peers: readonly PeerAnswer[]
+}
+
+/** The answer of an instance that was pinged while the leader was silent. */
+interface PeerAnswer {
+  readonly address: string
+  /** Undefined if the instance did not answer. */
+  readonly answer: PingAnswer | undefined
 }
 
 export interface Leadership {
@@ -61,13 +85,15 @@
   readonly others: () => readonly Member[]
   /** On the leader: the members with the digest by which followers tell whether they have this list. */
   readonly listForFollowers: () => {readonly members: readonly Member[]; readonly digest: number}
+  /** The members most fit to lead, for an instance that has no list. */
+  readonly fittest: () => readonly Member[]
   /** Records the sender of a ping that announces no lead. */
   readonly recordMember: (member: Member) => void
   /** Gives up leadership after a worker or the store refused this instance because of a later leader. */
   readonly stepDown: () => void
   /** Asks a follower to take over before a planned stop. */
   readonly handOver: () => Promise<void>
-  /** Takes over from the leader of the given term, at its or a weak follower's request. False if this instance cannot. */
+  /** Takes over from the leader of the given term, at its or a less fit follower's request. False if this instance cannot. */
   readonly takeOver: (term: number) => boolean
   readonly start: () => void
   readonly stop: () => void
@@ -113,21 +139,22 @@
  */
 const MAX_CLAIM_DELAY_MS: Milliseconds = 60
 const CLAIM_RETRY_MS: Milliseconds = 150
-/**
- * Planning for 245 workers at peak load takes more than this many processors. An instance with fewer is weak: it leads
- * only if there is no stronger one.
- */
-const MIN_LEADER_PROCESSORS = 0.5
-/** Additional delay before a weak instance claims leadership. */
-const WEAK_CLAIM_DELAY_MS: Milliseconds = 300
-/** Minimum time between a weak leader's offers to hand over to a stronger follower. */
+/** How long an instance leaves a claim to a fitter one that has accepted, or a weak one that knows no other. */
+const STAND_BACK_MS: Milliseconds = 300
+/** A fitter instance that takes longer to answer is not waited for. */
+const FITTER_ANSWER_MS: Milliseconds = 150
+/** Interval at which an instance that stands back looks whether there is a new leader. */
+const STAND_BACK_CHECK_MS: Milliseconds = 30
+/** Minimum time between a leader's offers to hand over to a fitter follower. */
 const OFFER_INTERVAL_MS: Milliseconds = 2000
-/** Stronger followers asked in one round of offers. */
+/** Fitter instances asked in one round of offers. */
 const MAX_OFFERS = 3
+/** Of the instances pinged while the leader is silent, so many are the fittest known. */
+const MAX_FITTEST_ASKED = 4
+/** The fittest members named to an instance that has no list; the silent leader may be one of them. */
+const FITTEST_NAMED = 5
 
-function isWeak(member: Member): boolean {
-  return member.processors < MIN_LEADER_PROCESSORS
-}
+const NO_PEERS: PeerVerdict = {verdict: "silent", peers: []}
 
 export function createLeadership(ports: LeadershipPorts): Leadership {
   const {clock, random, log, store, clients, self, incarnation} = ports
@@ -148,8 +175,14 @@
   /** When this instance last offered to hand over in its term. */
   let lastOfferAt = -Infinity
   let isolatedSince: Milliseconds | undefined
+  /** Since when this instance has been in touch with a leader, or has led. */
+  let inTouchSince = Infinity
   const members = createMembers(clock, self, ports.seeds)
 
+  function describeSelf(): Member {
+    return {...self, isWarm: isWarmAfter(clock.now() - inTouchSince)}
+  }
+
   /** The terms that this instance has known of, in order, with the times at which it first did. */
   let knownTerms: readonly {readonly term: number; readonly since: Milliseconds}[] = []
 
@@ -220,19 +253,64 @@
     applyLeaderItem(item, sentAt)
   }
 
+  /** The other instances that may be up. An instance that has no list knows those that its peers have named. */
+  function listContenders(peers: readonly PeerAnswer[]): readonly Member[] {
+    const announced = members.announced()
+    const named = peers.flatMap(({answer}) => answer?.fittest ?? [])
+    const known = new Map((announced.length > 0 ? announced : named).map(member => [member.name, member]))
+    known.delete(self.name)
+    known.delete(currentLeader?.member.name ?? self.name)
+    return [...known.values()]
+  }
+
+  /** The fitter ones of the others, without those that have just not answered or do not reach the store. */
+  function findFitterPeers(others: readonly Member[], peers: readonly PeerAnswer[]): readonly Member[] {
+    const unable = new Set(
+      peers
+        .filter(({answer}) => !answer || answer.storeFailingMs > STORE_CUT_OFF_MS)
+        .map(({address}) => address),
+    )
+    return findFitter(
+      describeSelf(),
+      shuffled(random, others).filter(({address}) => !unable.has(address)),
+    )
+  }
+
   /**
-   * Waits for a random time before a claim. A weak instance first asks stronger ones to claim in its place, since they
-   * may not have noticed yet, and waits longer if there may be any.
+   * Waits for a random time before a claim. An instance first asks fitter ones to claim in its place, since they may not
+   * have noticed yet, and waits longer if one of them accepts. `term` is that of the silent leader; 0 if there was none.
    */
-  async function delayClaim(): Promise<void> {
-    const others = members
-      .announced()
-      .filter(({name}) => name !== self.name && name !== currentLeader?.member.name)
-    const stronger = isWeak(self) ? others.filter(member => !isWeak(member)) : []
-    const shouldDelay = isWeak(self) && (others.length === 0 || stronger.length > 0)
-    for (const member of shuffled(random, stronger).slice(0, MAX_OFFERS))
-      void clients.reach(member.address).takeOver(currentLeader?.term ?? 0, OFFER_TIMEOUT_MS)
-    await sleep(clock, random.next() * MAX_CLAIM_DELAY_MS + (shouldDelay ? WEAK_CLAIM_DELAY_MS : 0))
+  async function delayClaim(term: number, peers: readonly PeerAnswer[]): Promise<void> {
+    const startedAt = clock.now()
+    const replaced = currentLeader
+    const others = listContenders(peers)
+    const fitter = findFitterPeers(others, peers)
+    const asked = term > 0 ? fitter.slice(0, MAX_OFFERS) : []
+    const answers = await Promise.all(
+      asked.map(({address}) => clients.reach(address).takeOver(term, FITTER_ANSWER_MS)),
+    )
+    const accepted = asked.filter((_, index) => answers[index]?.unwrapOr(false))
+    const isAlone = isWeak(self) && others.length === 0
+    const waitUntil = startedAt + (accepted.length > 0 || isAlone ? STAND_BACK_MS : 0)
+    while (clock.now() < waitUntil && currentLeader === replaced && !isStopped)
+      await sleep(clock, Math.min(STAND_BACK_CHECK_MS, waitUntil - clock.now()))
+    if (currentLeader === replaced) await sleep(clock, random.next() * MAX_CLAIM_DELAY_MS)
+    const {isWarm} = describeSelf()
+    log.info(
+      {
+        event: "claim",
+        term,
+        power: leadingPower(self),
+        isWarm,
+        others: others.length,
+        fitter: fitter.length,
+        asked: asked.map(({name}) => name),
+        accepted: accepted.map(({name}) => name),
+        waited: Math.round(clock.now() - startedAt),
+        outcome: currentLeader === replaced ? "claims" : "another leads",
+      },
+      "decided who claims the lead of a leader that failed",
+    )
   }
 
   function becomeLeader(term: number, confirmedAt: Milliseconds): void {
@@ -245,81 +323,99 @@
     isLeading = true
     leaderAnsweredAt = clock.now()
     isolatedSince = undefined
+    inTouchSince = Math.min(inTouchSince, clock.now())
     log.info({event: "leading", term, instance: self.name}, "this instance is the leader")
     leadingSince = clock.now()
     lastOfferAt = -Infinity
     ports.onBecomeLeader(term, confirmedAt)
   }
 
-  /** Asks followers to take over, those with the most processors first, until one accepts. */
+  /** Asks followers in this order to take over, until one accepts. */
   async function offerLead(candidates: readonly Member[], reason: string): Promise<void> {
     const term = currentLeader?.term ?? 0
-    const strongest = [...candidates].sort((one, other) => other.processors - one.processors)
-    for (const member of strongest) {
+    for (const member of candidates) {
       const accepted = await clients.reach(member.address).takeOver(term, OFFER_TIMEOUT_MS)
       if (accepted.isOk() && accepted.value) {
-        log.info({event: "hand-over", term, to: member.name, reason}, "leadership handed over")
+        const {name: to, isWarm} = member
+        const powers = {power: leadingPower(self), toPower: leadingPower(member), isWarm}
+        log.info({event: "hand-over", term, to, ...powers, ...ports.duty(), reason}, "leadership handed over")
         return
       }
     }
   }
 
-  async function offerLeadIfWeak(): Promise<void> {
-    if (!isWeak(self) || clock.now() - lastOfferAt < OFFER_INTERVAL_MS) return
-    const stronger = currentMembers().filter(member => !isWeak(member))
-    if (stronger.length === 0) return
+  /** Offers the lead to fitter followers, if this instance may hand over now. */
+  async function offerLeadIfUnfit(): Promise<void> {
+    if (clock.now() - lastOfferAt < OFFER_INTERVAL_MS) return
+    const followers = currentMembers().filter(({name}) => name !== self.name)
+    const successors = findSuccessors(describeSelf(), followers, ports.duty())
+    if (successors.length === 0) return
     lastOfferAt = clock.now()
-    await offerLead(stronger.slice(0, MAX_OFFERS), "a stronger instance follows")
+    await offerLead(successors.slice(0, MAX_OFFERS), "a fitter instance follows")
   }
 
   function describePing(): Ping {
     const followedTerm = isLeading ? 0 : (currentLeader?.term ?? 0)
     const membersDigest = members.announcedDigest()
-    return {sender: self, ledTerm: 0, followedTerm, leaderClockMs, membersDigest}
+    return {sender: describeSelf(), ledTerm: 0, followedTerm, leaderClockMs, membersDigest}
   }
 
-  /** Pings other instances, and follows a later leader if one of them names it. */
-  async function pingPeers(): Promise<readonly PingAnswer[]> {
+  /** The addresses to ping while the leader is silent: the witnesses, those most fit to succeed it, and others. */
+  function choosePeers(): readonly string[] {
     const leaderAddress = currentLeader?.member.address ?? ""
     const witnesses = members.witnesses(leaderAddress, false).filter(address => address !== self.address)
+    const fittest = findFitter(describeSelf(), listContenders([]))
+      .slice(0, MAX_FITTEST_ASKED)
+      .map(({address}) => address)
+      .filter(address => !witnesses.includes(address))
     const rest = members
       .addresses()
-      .filter(address => address !== leaderAddress && !witnesses.includes(address))
-    const others = [...witnesses, ...shuffled(random, rest).slice(0, MAX_ASKED_PEERS)]
-    const answers = await Promise.all(
-      others.map(address => clients.reach(address).ping(describePing(), PEER_TIMEOUT_MS)),
+      .filter(
+        address => address !== leaderAddress && !witnesses.includes(address) && !fittest.includes(address),
+      )
+    return [...witnesses, ...fittest, ...shuffled(random, rest).slice(0, MAX_ASKED_PEERS - fittest.length)]
+  }
+
+  /** Pings other instances, and follows a later leader if one of them names it. */
+  async function pingPeers(): Promise<readonly PeerAnswer[]> {
+    const peers = await Promise.all(
+      choosePeers().map(async (address): Promise<PeerAnswer> => {
+        const answer = await clients.reach(address).ping(describePing(), PEER_TIMEOUT_MS)
+        return {address, answer: answer.unwrapOr(undefined)}
+      }),
     )
-    const reached = answers.filter(answer => answer.isOk()).map(answer => answer.value)
-    for (const answer of reached)
-      if (answer.leader) followLeader(answer.term, answer.leader, currentLeader !== undefined)
-    return reached
+    for (const {answer} of peers)
+      if (answer?.leader) followLeader(answer.term, answer.leader, currentLeader !== undefined)
+    return peers
   }
 
   /**
    * Asks other followers whether they have heard the leader of the given term since `silentSince`. An instance that
    * reaches no other one is isolated, and may not claim for `ISOLATION_TIMEOUT_MS`.
    */
-  async function askPeers(term: number, silentSince: Milliseconds): Promise<"heard" | "silent" | "isolated"> {
-    if (members.addresses().every(address => address === currentLeader?.member.address)) return "silent"
+  async function askPeers(term: number, silentSince: Milliseconds): Promise<PeerVerdict> {
+    if (members.addresses().every(address => address === currentLeader?.member.address)) return NO_PEERS
     // Ages count from before the calls, since the slowest of them delays all answers.
     const age = Math.max(RECENTLY_HEARD_MS, clock.now() - silentSince)
-    const reached = await pingPeers()
+    const peers = await pingPeers()
+    const reached = peers.map(({answer}) => answer).filter(answer => answer !== undefined)
     if (reached.some(answer => answer.term === term && answer.leaderAgeMs < age && !answer.leads)) {
       log.info({event: "leader-busy", term}, "another instance has heard the leader, which is busy")
-      return "heard"
+      return {verdict: "heard", peers}
     }
     if (reached.length > 0) {
       isolatedSince = undefined
-      return "silent"
+      return {verdict: "silent", peers}
     }
     isolatedSince ??= clock.now()
-    return clock.now() - isolatedSince > ISOLATION_TIMEOUT_MS ? "silent" : "isolated"
+    const isIsolated = clock.now() - isolatedSince <= ISOLATION_TIMEOUT_MS
+    return {verdict: isIsolated ? "isolated" : "silent", peers}
   }
 
   /** Claims the leader key if it is absent or its leader has not been heard since `silentSince`. */
   async function resolveLeader(silentSince: Milliseconds): Promise<void> {
     const view = currentLeader
-    const verdict = view ? await askPeers(view.term, silentSince) : "silent"
+    const {verdict, peers} = view ? await askPeers(view.term, silentSince) : NO_PEERS
     if (verdict === "heard" || currentLeader !== view) return
     const sentAt = clock.now()
     const [read, termRecord] = await Promise.all([store.read(LEADER_KEY), store.read(TERM_KEY)])
@@ -331,7 +427,7 @@
     }
     const item = read.value
     if (!item) {
-      await delayClaim()
+      await delayClaim(0, [])
       await claim(NO_FORMER_TERM)
       return
     }
@@ -340,7 +436,9 @@
     if (currentLeader && item.revision > term) return
     if (verdict === "isolated") return
     const replaced = currentLeader
-    await delayClaim()
+    // An instance that led before its restart has asked nobody. Those that are up answer within the usual delay.
+    const asked = view ? peers : await withTimeout(clock, pingPeers(), MAX_CLAIM_DELAY_MS, [])
+    if (currentLeader === replaced) await delayClaim(item.revision, asked)
     if (currentLeader === replaced && (replaced === undefined || replaced.term === item.revision))
       await claim(describeFormerTerm(item, termRecord.value))
   }
@@ -380,6 +478,7 @@
     }
     leaderAnsweredAt = clock.now()
     leaderHeardAt = leaderAnsweredAt
+    inTouchSince = Math.min(inTouchSince, leaderAnsweredAt)
     if (reply.term === view.term) leaderClockMs = reply.clockMs
     roundTrips = observeAnswer(roundTrips, leaderAnsweredAt - sentAt)
     if (reply.members) members.announce(reply.members, reply.membersDigest)
@@ -409,8 +508,9 @@
     const former = await readTerm(term)
     if (!former) return
     log.warn({event, term}, message)
-    await delayClaim()
-    await claim(former)
+    const replaced = currentLeader
+    await delayClaim(term, [])
+    if (currentLeader === replaced) await claim(former)
   }
 
   /**
@@ -427,7 +527,13 @@
   async function announceTo(address: string): Promise<void> {
     const view = currentLeader
     if (!view) return
-    const ping = {sender: self, ledTerm: view.term, followedTerm: 0, leaderClockMs: 0, membersDigest: 0}
+    const ping = {
+      sender: describeSelf(),
+      ledTerm: view.term,
+      followedTerm: 0,
+      leaderClockMs: 0,
+      membersDigest: 0,
+    }
     const answer = await clients.reach(address).ping(ping, ANNOUNCEMENT_TIMEOUT_MS)
     if (answer.isErr() || isStopped || !isLeading || currentLeader !== view) return
     const {term, leader} = answer.value
@@ -443,7 +549,7 @@
       } else {
         announceLead()
         // Announcements go on while an offer waits for its answer.
-        void offerLeadIfWeak()
+        void offerLeadIfUnfit()
       }
       await sleep(clock, currentLeader ? computePingInterval() : CLAIM_RETRY_MS)
     }
@@ -473,6 +579,7 @@
     members: currentMembers,
     others: () => members.others(clock.now() - leadingSince < NEW_LEADER_PERIOD_MS),
     listForFollowers: members.listForFollowers,
+    fittest: () => rankByFitness(currentMembers()).slice(0, FITTEST_NAMED),
     recordMember: members.recordPing,
     stepDown() {
       isLeading = false
@@ -482,12 +589,13 @@
       isDraining = true
       if (!isLeading || !currentLeader) return
       await offerLead(
-        currentMembers().filter(({name}) => name !== self.name),
+        rankByFitness(currentMembers().filter(({name}) => name !== self.name)),
         "this instance stops",
       )
     },
     takeOver(term) {
       if (isDraining || isStopped || isLeading || currentLeader?.term !== term) return false
+      if (ports.isStoreFailing()) return false
       log.info({event: "take-over", term}, "another instance asks this one to lead")
       void acceptLead(term)
       return true
--- a/src/planner/members.ts
+++ b/src/planner/members.ts
@@ -62,7 +62,9 @@
     if (listed && clock.now() - listedAt < LIST_LIFE_MS) return listed
     const members = currentMembers(true)
     const text = members
-      .map(({name, address, processors}) => `${name} ${address} ${processors}`)
+      .map(({name, address, processors, linkMegabits = 0, isWarm = false}) =>
+        [name, address, processors, linkMegabits, isWarm].join(" "),
+      )
       .sort()
       .join()
     // 0 means that an instance has no list.
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -15,6 +15,7 @@
 import {createAdviceDispatcher} from "./advicedispatcher.js"
 import {createBarrier, unconfirmedLimit} from "./barrier.js"
 import {createConfirmation} from "./confirmation.js"
+import type {LeaderDuty} from "../pipelines/succession.js"
 import {watchPrefix} from "./prefixwatch.js"
 import {createJobTable, INITIAL_PROGRESS} from "./jobtable.js"
 import type {ShownState} from "./jobtable.js"
@@ -94,6 +95,8 @@
   readonly loads: () => CountedLoads | undefined
   /** Records a ping that names this term. `answeredAt` is the time of the latest answer that the follower had, or 0. */
   readonly recordFollower: (name: string, answeredAt: Milliseconds) => void
+  /** How busy this leader is, for the decision whether it hands over. */
+  readonly duty: () => LeaderDuty
   readonly schedulePass: () => void
   readonly counts: () => Readonly<Record<string, number>>
   readonly close: () => void
@@ -118,6 +121,7 @@
   let isClosed = false
   let isPassScheduled = false
   let isLoaded = false
+  let loadedAt = Infinity
   let passes = 0
   let lastPassDuration: Milliseconds = 0
   let workLimit = INITIAL_WORK_LIMIT
@@ -514,6 +518,7 @@
     initialEntries = 0
     for (const worker of pool.workers.values()) if (!worker.isFenced) barrier.add(worker)
     isLoaded = true
+    loadedAt = clock.now()
     const hasClosed = (): boolean => isClosed
     void watchPrefix(
       store,
@@ -613,6 +618,7 @@
     cancel,
     loads,
     recordFollower: followers.record,
+    duty: () => ({plannedFor: Math.max(0, clock.now() - loadedAt), openSteps}),
     schedulePass,
     counts: () => ({
       active: jobs.active.size,
--- a/src/settings/fleetsettings.ts
+++ b/src/settings/fleetsettings.ts
@@ -39,6 +39,8 @@
   readonly processors: number
   /** Memory that the process may take, in MiB; 0 if it is not known. */
   readonly memoryMebibytes: number
+  /** Megabits a second that the link of the machine carries; 0 if it is not known. */
+  readonly linkMegabits: number
   /** File descriptors that the process may open; 0 if it is not known. */
   readonly descriptors: number
   /**
@@ -121,6 +123,7 @@
       fields.optional("limits", "processor_share", decimal(0, MAX_PROCESSORS), 1) *
       fields.optional("limits", "processor_speed", decimal(0, MAX_PROCESSORS), 1),
     memoryMebibytes: fields.optional("limits", "memory", amount, 0),
+    linkMegabits: fields.optional("limits", "link", amount, 0),
     descriptors: fields.optional("limits", "descriptors", amount, 0),
     withdrawalLimit: fields.optional("keys", "strict_withdrawal", flag, false)
       ? fields.optional("keys", "withdrawal_limit", spanIfGiven, DEFAULT_WITHDRAWAL_LIMIT_MS)
--- a/test/fleet/connections.test.ts
+++ b/test/fleet/connections.test.ts
@@ -24,6 +24,7 @@
     configurationAgeMs: 0,
     members: undefined,
     membersDigest: 0,
+    fittest: [],
     queues: undefined,
     loadingMs: 0,
     clockMs: 0,
--- a/test/fleet/leadership.test.ts
+++ b/test/fleet/leadership.test.ts
@@ -47,6 +47,7 @@
     onDeposed: () => void events.push("deposed"),
     onLeaderAnswer: () => undefined,
     isStoreFailing: () => false,
+    duty: () => ({plannedFor: 0, openSteps: 0}),
   })
   leadership.start()
   await clock.advance(500)
@@ -65,6 +66,7 @@
       configurationAgeMs: 0,
       members: [],
       membersDigest: 0,
+      fittest: [],
       queues: undefined,
       loadingMs: 0,
       clockMs: 1,
@@ -103,6 +105,7 @@
               configurationAgeMs: 0,
               members: [memberOf("entry-2")],
               membersDigest: 1,
+              fittest: [],
               queues: undefined,
               loadingMs: 0,
               clockMs: 1,
@@ -119,6 +122,7 @@
       onDeposed: () => undefined,
       onLeaderAnswer: () => undefined,
       isStoreFailing: () => false,
+      duty: () => ({plannedFor: 0, openSteps: 0}),
     })
     leadership.start()
     await clock.advance(announcedAt)
