An instance without a list of members learns who is fit to lead

A leader that restarted at once claimed again as a cold process, since it knew nobody. Peers now name the fittest members to it. A leader that refuses connections has ended, so that followers which had heard it shortly before no longer hold up the claim for 0.3 s.

--- a/src/planner/leadership.ts
+++ b/src/planner/leadership.ts
@@ -154,6 +154,12 @@
 /** The fittest members named to an instance that has no list; the silent leader may be one of them. */
 const FITTEST_NAMED = 5
 
+/** The least fit member is named as well, since it shows whether the instances differ. */
+function nameFittest(members: readonly Member[]): readonly Member[] {
+  const ranked = rankByFitness(members)
+  return [...ranked.slice(0, FITTEST_NAMED), ...ranked.slice(FITTEST_NAMED).slice(-1)]
+}
+
 const NO_PEERS: PeerVerdict = {verdict: "silent", peers: []}
 
 export function createLeadership(ports: LeadershipPorts): Leadership {
@@ -390,13 +396,18 @@
   }
 
   /**
-   * Asks other followers whether they have heard the leader of the given term since `silentSince`. An instance that
-   * reaches no other one is isolated, and may not claim for `ISOLATION_TIMEOUT_MS`.
+   * Asks other followers whether they have heard the leader of the given term since `silentSince`. A leader that refuses
+   * connections has ended, and what was heard of it before counts for nothing. An instance that reaches no other one is
+   * isolated, and may not claim for `ISOLATION_TIMEOUT_MS`.
    */
-  async function askPeers(term: number, silentSince: Milliseconds): Promise<PeerVerdict> {
+  async function askPeers(
+    term: number,
+    silentSince: Milliseconds,
+    hasRefused: boolean,
+  ): Promise<PeerVerdict> {
     if (members.addresses().every(address => address === currentLeader?.member.address)) return NO_PEERS
     // Ages count from before the calls, since the slowest of them delays all answers.
-    const age = Math.max(RECENTLY_HEARD_MS, clock.now() - silentSince)
+    const age = Math.max(hasRefused ? 0 : RECENTLY_HEARD_MS, clock.now() - silentSince)
     const peers = await pingPeers()
     const reached = peers.map(({answer}) => answer).filter(answer => answer !== undefined)
     if (reached.some(answer => answer.term === term && answer.leaderAgeMs < age && !answer.leads)) {
@@ -413,9 +424,9 @@
   }
 
   /** Claims the leader key if it is absent or its leader has not been heard since `silentSince`. */
-  async function resolveLeader(silentSince: Milliseconds): Promise<void> {
+  async function resolveLeader(silentSince: Milliseconds, hasRefused = false): Promise<void> {
     const view = currentLeader
-    const {verdict, peers} = view ? await askPeers(view.term, silentSince) : NO_PEERS
+    const {verdict, peers} = view ? await askPeers(view.term, silentSince, hasRefused) : NO_PEERS
     if (verdict === "heard" || currentLeader !== view) return
     const sentAt = clock.now()
     const [read, termRecord] = await Promise.all([store.read(LEADER_KEY), store.read(TERM_KEY)])
@@ -458,7 +469,7 @@
         "the leader did not answer a ping",
       )
       const isSilent = answer.error.certainty === "unknown"
-      if (!isSilent || leaderHeardAt < sentAt) await resolveLeader(sentAt)
+      if (!isSilent || leaderHeardAt < sentAt) await resolveLeader(sentAt, !isSilent)
       if (!isSilent) return
       roundTrips =
         (currentLeader as LeaderView | undefined)?.term === view.term
@@ -579,7 +590,7 @@
     members: currentMembers,
     others: () => members.others(clock.now() - leadingSince < NEW_LEADER_PERIOD_MS),
     listForFollowers: members.listForFollowers,
-    fittest: () => rankByFitness(currentMembers()).slice(0, FITTEST_NAMED),
+    fittest: () => nameFittest(currentMembers()),
     recordMember: members.recordPing,
     stepDown() {
       isLeading = false
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -113,6 +113,8 @@
   readonly seed?: number
   /** The processors that each instance may use, by name; 1 by default. */
   readonly processors?: Readonly<Record<string, number>>
+  /** Megabits a second that the link of each instance carries, by name; not known by default. */
+  readonly links?: Readonly<Record<string, number>>
 }
 
 export interface LogLine {
@@ -264,7 +266,12 @@
     incarnations += 1
     const instance = createFleetInstance(
       {
-        member: {name, address: addressOf(name), processors: options.processors?.[name] ?? 1},
+        member: {
+          name,
+          address: addressOf(name),
+          processors: options.processors?.[name] ?? 1,
+          linkMegabits: options.links?.[name] ?? 0,
+        },
         incarnation: `life-${incarnations}`,
         seeds: names.map(addressOf),
         longestLease: 10_000,
