--- a/src/planner/leadership.ts
+++ b/src/planner/leadership.ts
@@ -14,14 +14,9 @@
 import type {FleetClients, Member, Ping, PingAnswer} from "../peer/fleet.js"
 import type {KeyValueStore, StoredItem} from "../pipelines/ports.js"
 import type {LeaderDuty} from "../pipelines/succession.js"
-import {
-  findFitter,
-  findSuccessors,
-  isWarmAfter,
-  isWeak,
-  leadingPower,
-  rankByFitness,
-} from "../pipelines/succession.js"
+import {findSuccessors, isWarmAfter, leadingPower, rankByFitness} from "../pipelines/succession.js"
+import type {PeerAnswer} from "./claimorder.js"
+import {createClaimOrder, MAX_CLAIM_DELAY_MS} from "./claimorder.js"
 import {createMembers} from "./members.js"
 import {describeFormerTerm, NO_FORMER_TERM} from "./earlierleaders.js"
 import type {FormerTerm} from "./records.js"
@@ -62,13 +57,6 @@
   readonly peers: readonly PeerAnswer[]
 }
 
-/** The answer of an instance that was pinged while the leader was silent. */
-interface PeerAnswer {
-  readonly address: string
-  /** Undefined if the instance did not answer. */
-  readonly answer: PingAnswer | undefined
-}
-
 export interface Leadership {
   readonly leader: () => LeaderView | undefined
   readonly isLeader: () => boolean
@@ -133,24 +121,11 @@
 const MAX_OBSERVED_SILENCE_MS: Milliseconds = 700
 /** An instance that reaches no other instance does not claim leadership for this long. */
 const ISOLATION_TIMEOUT_MS: Milliseconds = 5000
-/**
- * Upper bound of the random delay before a claim, so that instances which find the leader dead do not all claim at
- * once.
- */
-const MAX_CLAIM_DELAY_MS: Milliseconds = 60
 const CLAIM_RETRY_MS: Milliseconds = 150
-/** How long an instance leaves a claim to a fitter one that has accepted, or a weak one that knows no other. */
-const STAND_BACK_MS: Milliseconds = 300
-/** A fitter instance that takes longer to answer is not waited for. */
-const FITTER_ANSWER_MS: Milliseconds = 150
-/** Interval at which an instance that stands back looks whether there is a new leader. */
-const STAND_BACK_CHECK_MS: Milliseconds = 30
 /** Minimum time between a leader's offers to hand over to a fitter follower. */
 const OFFER_INTERVAL_MS: Milliseconds = 2000
 /** Fitter instances asked in one round of offers. */
 const MAX_OFFERS = 3
-/** Of the instances pinged while the leader is silent, so many are the fittest known. */
-const MAX_FITTEST_ASKED = 4
 /** The fittest members named to an instance that has no list; the silent leader may be one of them. */
 const FITTEST_NAMED = 5
 
@@ -189,6 +164,15 @@
     return {...self, isWarm: isWarmAfter(clock.now() - inTouchSince)}
   }
 
+  const claimOrder = createClaimOrder({
+    ...ports,
+    describeSelf,
+    announced: members.announced,
+    leader: () => currentLeader,
+    isStopped: () => isStopped,
+  })
+  const {standBack} = claimOrder
+
   /** The terms that this instance has known of, in order, with the times at which it first did. */
   let knownTerms: readonly {readonly term: number; readonly since: Milliseconds}[] = []
 
@@ -259,66 +243,6 @@
     applyLeaderItem(item, sentAt)
   }
 
-  /** The other instances that may be up. An instance that has no list knows those that its peers have named. */
-  function listContenders(peers: readonly PeerAnswer[]): readonly Member[] {
-    const announced = members.announced()
-    const named = peers.flatMap(({answer}) => answer?.fittest ?? [])
-    const known = new Map((announced.length > 0 ? announced : named).map(member => [member.name, member]))
-    known.delete(self.name)
-    known.delete(currentLeader?.member.name ?? self.name)
-    return [...known.values()]
-  }
-
-  /** The fitter ones of the others, without those that have just not answered or do not reach the store. */
-  function findFitterPeers(others: readonly Member[], peers: readonly PeerAnswer[]): readonly Member[] {
-    const unable = new Set(
-      peers
-        .filter(({answer}) => !answer || answer.storeFailingMs > STORE_CUT_OFF_MS)
-        .map(({address}) => address),
-    )
-    return findFitter(
-      describeSelf(),
-      shuffled(random, others).filter(({address}) => !unable.has(address)),
-    )
-  }
-
-  /**
-   * Waits for a random time before a claim. An instance first asks fitter ones to claim in its place, since they may not
-   * have noticed yet, and waits longer if one of them accepts. `term` is that of the silent leader; 0 if there was none.
-   */
-  async function delayClaim(term: number, peers: readonly PeerAnswer[]): Promise<void> {
-    const startedAt = clock.now()
-    const replaced = currentLeader
-    const others = listContenders(peers)
-    const fitter = findFitterPeers(others, peers)
-    const asked = term > 0 ? fitter.slice(0, MAX_OFFERS) : []
-    const answers = await Promise.all(
-      asked.map(({address}) => clients.reach(address).takeOver(term, FITTER_ANSWER_MS)),
-    )
-    const accepted = asked.filter((_, index) => answers[index]?.unwrapOr(false))
-    const isAlone = isWeak(self) && others.length === 0
-    const waitUntil = startedAt + (accepted.length > 0 || isAlone ? STAND_BACK_MS : 0)
-    while (clock.now() < waitUntil && currentLeader === replaced && !isStopped)
-      await sleep(clock, Math.min(STAND_BACK_CHECK_MS, waitUntil - clock.now()))
-    if (currentLeader === replaced) await sleep(clock, random.next() * MAX_CLAIM_DELAY_MS)
-    const {isWarm} = describeSelf()
-    log.info(
-      {
-        event: "claim",
-        term,
-        power: leadingPower(self),
-        isWarm,
-        others: others.length,
-        fitter: fitter.length,
-        asked: asked.map(({name}) => name),
-        accepted: accepted.map(({name}) => name),
-        waited: Math.round(clock.now() - startedAt),
-        outcome: currentLeader === replaced ? "claims" : "another leads",
-      },
-      "decided who claims the lead of a leader that failed",
-    )
-  }
-
   function becomeLeader(term: number, confirmedAt: Milliseconds): void {
     if (isLeading && currentLeader?.term === term) return
     // The reply to a claim came after another instance had taken over.
@@ -370,10 +294,7 @@
   function choosePeers(): readonly string[] {
     const leaderAddress = currentLeader?.member.address ?? ""
     const witnesses = members.witnesses(leaderAddress, false).filter(address => address !== self.address)
-    const fittest = findFitter(describeSelf(), listContenders([]))
-      .slice(0, MAX_FITTEST_ASKED)
-      .map(({address}) => address)
-      .filter(address => !witnesses.includes(address))
+    const fittest = claimOrder.listFittest().filter(address => !witnesses.includes(address))
     const rest = members
       .addresses()
       .filter(
@@ -438,7 +359,7 @@
     }
     const item = read.value
     if (!item) {
-      await delayClaim(0, [])
+      await standBack(0, [])
       await claim(NO_FORMER_TERM)
       return
     }
@@ -449,7 +370,7 @@
     const replaced = currentLeader
     // An instance that led before its restart has asked nobody. Those that are up answer within the usual delay.
     const asked = view ? peers : await withTimeout(clock, pingPeers(), MAX_CLAIM_DELAY_MS, [])
-    if (currentLeader === replaced) await delayClaim(item.revision, asked)
+    if (currentLeader === replaced) await standBack(item.revision, asked)
     if (currentLeader === replaced && (replaced === undefined || replaced.term === item.revision))
       await claim(describeFormerTerm(item, termRecord.value))
   }
@@ -520,7 +441,7 @@
     if (!former) return
     log.warn({event, term}, message)
     const replaced = currentLeader
-    await delayClaim(term, [])
+    await standBack(term, [])
     if (currentLeader === replaced) await claim(former)
   }
 
