A new leader announces itself to all instances that were listed

It learned of them by their own pings, which come every 0.6 s in a large fleet. In the test it knew 7 of 40 instances after 50 ms, now all of them.

--- a/src/planner/leadership.ts
+++ b/src/planner/leadership.ts
@@ -101,6 +101,9 @@
 const NEW_LEADER_PERIOD_MS: Milliseconds = 2000
 /** Nothing waits for the answers, but the leader must not cancel an announcement that is still being sent. */
 const ANNOUNCEMENT_TIMEOUT_MS: Milliseconds = 1000
+/** Instances to which a new leader announces itself at a time, so that it has time for its own work in between. */
+const ANNOUNCED_AT_ONCE = 32
+const ANNOUNCEMENT_PAUSE_MS: Milliseconds = 10
 /** Shorter than for the leader, because followers have little to do. */
 const PEER_TIMEOUT_MS: Milliseconds = 250
 /** A leader that the store has not answered for this long is replaced by a follower that can reach the store. */
@@ -257,6 +260,7 @@
     log.info({event: "leading", term, instance: self.name}, "this instance is the leader")
     leadingSince = clock.now()
     lastOfferAt = -Infinity
+    void announceToAll()
     ports.onBecomeLeader(term, confirmedAt)
   }
 
@@ -455,10 +459,29 @@
     for (const address of members.witnesses(self.address, true)) void announceTo(address)
   }
 
-  /** Announces this leader to a witness, and follows a later leader that the witness knows of. */
-  async function announceTo(address: string): Promise<void> {
+  /**
+   * Announces a new leader to each instance that the former one listed. Those that answer follow it and work for it at
+   * once, where it would learn of them by their own pings only over the next second.
+   */
+  async function announceToAll(): Promise<void> {
+    const view = currentLeader
+    const listed = members.announced().filter(({name}) => name !== self.name)
+    for (let next = 0; next < listed.length && currentLeader === view; next += ANNOUNCED_AT_ONCE) {
+      for (const member of listed.slice(next, next + ANNOUNCED_AT_ONCE))
+        void announceTo(member.address).then(hasFollowed => {
+          if (hasFollowed) members.recordPing(member)
+        })
+      await sleep(clock, ANNOUNCEMENT_PAUSE_MS)
+    }
+  }
+
+  /**
+   * Announces this leader to another instance, and follows a later leader that the instance knows of. True if it follows
+   * this one.
+   */
+  async function announceTo(address: string): Promise<boolean> {
     const view = currentLeader
-    if (!view) return
+    if (!view) return false
     const ping = {
       sender: describeSelf(),
       ledTerm: view.term,
@@ -467,10 +490,11 @@
       membersDigest: 0,
     }
     const answer = await clients.reach(address).ping(ping, ANNOUNCEMENT_TIMEOUT_MS)
-    if (answer.isErr() || isStopped || !isLeading || currentLeader !== view) return
+    if (answer.isErr() || isStopped || !isLeading || currentLeader !== view) return false
     const {term, leader} = answer.value
-    if (!leader || term <= view.term || leader.name === self.name) return
+    if (!leader || term < view.term || leader.name === self.name) return term === view.term
     followLeader(term, leader, true)
+    return false
   }
 
   async function runLoop(): Promise<void> {
--- a/test/fleet/succession.test.ts
+++ b/test/fleet/succession.test.ts
@@ -153,3 +153,15 @@
   const handOvers = fleet.logLines.filter(({event}) => event === "hand-over")
   t.is(handOvers.length, 1)
 })
+
+test("a new leader has the help of all instances that are up soon after its claim", async t => {
+  const fleet = await settledFleet(5)
+  const former = fleet.leader() ?? ""
+  fleet.kill(former)
+  await awaitLeader(fleet)
+  const leader = fleet.instance(fleet.leader() ?? "")
+  await fleet.clock.advance(50)
+  t.is(leader.counts().members, NAMES.length - 1)
+  await fleet.clock.advance(3000)
+  t.is(leader.counts().members, NAMES.length - 1)
+})
