Instances say when their turn at the advice service is taken

The service handles one call at a time for each machine and works on each to its end. After a takeover up to 29 of 41 instances still had a call of the former leader there, of up to 1.7 s; urgent calls of the new leader waited behind them until they timed out. An instance now answers at once that it is busy, and for how long, and the call keeps its place in the leader's queue. One that stops takes no calls. Fitter instances are asked to claim by class, so that a weak one does not claim beside a strong one.

--- a/src/peer/fleet.ts
+++ b/src/peer/fleet.ts
@@ -93,10 +93,6 @@
   readonly step: string
   readonly workers: readonly string[]
   readonly timeoutMs: Milliseconds
-  /** The term of the leader that asks. */
-  readonly term: number
-  /** Calls with a lower number are made first. */
-  readonly priority: number
   /** How long the advice service is expected to work on the call. */
   readonly durationMs: Milliseconds
 }
@@ -104,8 +100,8 @@
 export interface AdviceReply {
   /** Undefined if the advice service gave no answer. */
   readonly permits: readonly PermitRow[] | undefined
-  /** How long the call waited at the instance for its turn. */
-  readonly queuedMs: Milliseconds
+  /** Not 0 if the instance has made no call, since its turn at the service is taken for about this long. */
+  readonly busyMs: Milliseconds
   /** Time until the advice service answered, or until the instance gave up. */
   readonly serviceMs: Milliseconds
 }
@@ -289,11 +285,11 @@
         return {outcome: outcome === "not-stored" ? "" : outcome}
       },
       async ask(question) {
-        const {permits, queuedMs, serviceMs} = await handlers.ask(question)
+        const {permits, busyMs, serviceMs} = await handlers.ask(question)
         return {
           answered: permits !== undefined,
           permits: [...(permits ?? [])],
-          queuedMs: Math.round(queuedMs),
+          busyMs: Math.ceil(busyMs),
           serviceMs: Math.round(serviceMs),
         }
       },
--- a/src/pipelines/succession.ts
+++ b/src/pipelines/succession.ts
@@ -81,6 +81,12 @@
   return rankByFitness(others.filter(other => fitness(other) >= enough))
 }
 
+/** Those of the given instances that are about as fit as the fittest one; all of them are ranked by fitness. */
+export function takeFittestClass<T extends Contender>(ranked: readonly T[]): readonly T[] {
+  const [fittest] = ranked
+  return fittest ? ranked.filter(one => fitness(one) * MIN_ADVANTAGE > fitness(fittest)) : []
+}
+
 /**
  * The followers to which a leader should hand over now, the fittest first. A weak leader does so at once, even to a cold
  * one. Any other leader hands over to a warm one, and only while nothing waits that the change would hold up. Each
--- a/src/planner/advicedispatcher.ts
+++ b/src/planner/advicedispatcher.ts
@@ -1,11 +1,13 @@
 /**
  * Distributes requests to the advice service over the instances. The advice service decides which workers may run a
- * step. It handles one call at a time for each instance, so each instance has at most one call in flight. Long calls
- * leave some instances free for short ones.
+ * step. It handles one call at a time for each instance, so each instance has at most one call in flight. An instance
+ * whose turn is taken otherwise, as by a call of a former leader, says for how long. `adviceturns.ts` decides which call
+ * is made next.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
 import type {AdviceQuestion, AdviceReply} from "../peer/fleet.js"
+import {chooseCallMaker, findNextCall, isLongCall, mayMakeLongCall} from "../pipelines/adviceturns.js"
 import type {Permit} from "../pipelines/ports.js"
 
 /** An instance that can call the advice service. */
@@ -20,12 +22,10 @@
 /** Where the time of a call went, in milliseconds. */
 export interface AdviceWaits {
   readonly instance: string
-  /** Until an instance was free. */
+  /** Until it was sent to the instance that made it. */
   readonly queued: Milliseconds
   /** From sending the call to the instance until its answer was read. */
   readonly roundTrip: Milliseconds
-  /** At the instance, until its turn at the service. */
-  readonly turn: Milliseconds
   /** At the service, as the instance saw it. */
   readonly service: Milliseconds
 }
@@ -56,9 +56,6 @@
   readonly countIdle: () => number
 }
 
-const LONG_CALL_MS: Milliseconds = 300
-/** One in this many instances, and at least one, is left free for short calls. */
-const INSTANCES_PER_SHORT_CALL_SLOT = 4
 /** Added to the expected duration of a call to get its timeout. */
 const ANSWER_SLACK_MS: Milliseconds = 500
 /** How long an instance is not used after a failed call. */
@@ -69,11 +66,10 @@
   readonly submittedAt: Milliseconds
 }
 
-/** Creates a dispatcher of the leader of the term. `listRequesters` returns the instances that are available at present. */
+/** Creates a dispatcher. `listRequesters` returns the instances that are available at present. */
 export function createAdviceDispatcher(
   clock: Clock,
   log: Logger,
-  term: number,
   listRequesters: () => readonly AdviceRequester[],
 ): AdviceDispatcher {
   const queue: QueuedRequest[] = []
@@ -89,76 +85,73 @@
     )
   }
 
-  /** Removes the most urgent request from the queue; the oldest of equal ones. */
-  function takeNext(mayBeLong: boolean): QueuedRequest | undefined {
-    let found = -1
-    queue.forEach(({request}, index) => {
-      if (!mayBeLong && request.duration > LONG_CALL_MS) return
-      if (found < 0 || request.priority < (queue[found]?.request.priority ?? 0)) found = index
-    })
-    return found < 0 ? undefined : queue.splice(found, 1)[0]
-  }
-
-  function mayStartLongCall(): boolean {
-    const total = listRequesters().length
-    const long = [...isLongCallByInstance.values()].filter(Boolean).length
-    return long < Math.max(1, total - Math.max(1, Math.floor(total / INSTANCES_PER_SHORT_CALL_SLOT)))
+  /** Removes the most urgent request from the queue that may be sent. */
+  function takeNext(): QueuedRequest | undefined {
+    const longCalls = [...isLongCallByInstance.values()].filter(Boolean).length
+    const waiting = queue.map(({request}) => request)
+    const next = findNextCall(waiting, mayMakeLongCall(listRequesters().length, longCalls))
+    return next < 0 ? undefined : queue.splice(next, 1)[0]
   }
 
-  async function send(requester: AdviceRequester, {request, submittedAt}: QueuedRequest): Promise<void> {
-    isLongCallByInstance.set(requester.name, request.duration > LONG_CALL_MS)
+  async function send(requester: AdviceRequester, queued: QueuedRequest): Promise<void> {
+    const {name} = requester
+    const {request, submittedAt} = queued
+    isLongCallByInstance.set(name, isLongCall(request))
     const sentAt = clock.now()
-    const {step, workers, priority, duration} = request
+    const {step, workers, duration} = request
     const reply = await requester.requestAdvice({
       step,
       workers,
       timeoutMs: duration + ANSWER_SLACK_MS,
-      term,
-      priority,
       durationMs: duration,
     })
-    const permits = reply?.permits
-    isLongCallByInstance.delete(requester.name)
+    const {permits, busyMs = 0, serviceMs = 0} = reply ?? {}
+    isLongCallByInstance.delete(name)
+    if (busyMs > 0) {
+      avoid(name, busyMs)
+      queue.unshift(queued)
+      dispatch()
+      return
+    }
     if (!permits) {
-      avoidedUntil.set(requester.name, clock.now() + AVOID_AFTER_FAILURE_MS)
-      clock.after(AVOID_AFTER_FAILURE_MS, dispatch)
-      log.warn(
-        {event: "advice-failed", instance: requester.name, step: request.step},
-        "the advice service did not answer",
-      )
+      avoid(name, AVOID_AFTER_FAILURE_MS)
+      log.warn({event: "advice-failed", instance: name, step}, "the advice service did not answer")
     }
-    request.onAnswer(permits, Math.min(clock.now(), sentAt + request.duration), {
-      instance: requester.name,
+    request.onAnswer(permits, Math.min(clock.now(), sentAt + duration), {
+      instance: name,
       queued: Math.round(sentAt - submittedAt),
       roundTrip: Math.round(clock.now() - sentAt),
-      turn: Math.round(reply?.queuedMs ?? 0),
-      service: Math.round(reply?.serviceMs ?? 0),
+      service: Math.round(serviceMs),
     })
     dispatch()
   }
 
+  function avoid(name: string, span: Milliseconds): void {
+    avoidedUntil.set(name, clock.now() + span)
+    clock.after(span, dispatch)
+  }
+
   /** Like `takeNext`, but drops requests that are no longer wanted. */
   function takeNextWanted(): QueuedRequest | undefined {
-    let queued = takeNext(mayStartLongCall())
+    let queued = takeNext()
     while (queued && !queued.request.isWanted()) {
       queued.request.onAnswer(undefined, clock.now(), undefined)
-      queued = takeNext(mayStartLongCall())
+      queued = takeNext()
     }
     return queued
   }
 
-  /**
-   * Sends queued requests to available instances. Short calls, for which urgent work waits, go to the most powerful
-   * instances and long calls to the least powerful ones.
-   */
+  /** Sends queued requests to available instances. */
   function dispatch(): void {
     if (queue.length === 0) return
-    const free = [...findAvailable()].sort((one, other) => other.processors - one.processors)
-    while (free.length > 0) {
+    const free = new Set(findAvailable())
+    while (free.size > 0) {
       const queued = takeNextWanted()
       if (!queued) return
-      const requester = queued.request.duration > LONG_CALL_MS ? free.pop() : free.shift()
-      if (requester) void send(requester, queued)
+      const requester = chooseCallMaker(queued.request, [...free])
+      if (!requester) return
+      free.delete(requester)
+      void send(requester, queued)
     }
   }
 
--- a/src/planner/claimorder.ts
+++ b/src/planner/claimorder.ts
@@ -8,7 +8,7 @@
 import type {Random} from "../core/random.js"
 import {shuffled} from "../core/random.js"
 import type {FleetClients, Member, PingAnswer} from "../peer/fleet.js"
-import {findFitter, isWeak, leadingPower} from "../pipelines/succession.js"
+import {findFitter, isWeak, leadingPower, takeFittestClass} from "../pipelines/succession.js"
 import type {LeaderView} from "./leadership.js"
 
 /** The answer of an instance that was pinged while the leader was silent. */
@@ -51,13 +51,20 @@
 const FITTER_ANSWER_MS: Milliseconds = 150
 /** Interval at which an instance that stands back looks whether there is a new leader. */
 const STAND_BACK_CHECK_MS: Milliseconds = 30
-/** Fitter instances asked to claim. */
+/** Fitter instances asked to claim at a time. */
 const MAX_ASKED = 3
 /** Of the instances pinged while the leader is silent, so many are the fittest known. */
 const MAX_FITTEST_PINGED = 4
 /** A peer that the store has not answered for this long is not asked to claim. */
 const STORE_CUT_OFF_MS: Milliseconds = 200
 
+interface AskedToClaim {
+  readonly asked: readonly Member[]
+  readonly accepted: readonly Member[]
+}
+
+const NOBODY_ASKED: AskedToClaim = {asked: [], accepted: []}
+
 export function createClaimOrder(ports: ClaimOrderPorts): ClaimOrder {
   const {clock, random, log, clients, describeSelf, announced, leader, isStopped} = ports
 
@@ -85,16 +92,29 @@
     )
   }
 
+  /** Asks fitter instances to claim, those of the fittest class first, until one accepts. */
+  async function askToClaim(term: number, fitter: readonly Member[]): Promise<AskedToClaim> {
+    const asked: Member[] = []
+    const lastAskAt = clock.now() + STAND_BACK_MS - FITTER_ANSWER_MS
+    while (clock.now() <= lastAskAt) {
+      const next = takeFittestClass(fitter.filter(member => !asked.includes(member))).slice(0, MAX_ASKED)
+      if (next.length === 0) break
+      asked.push(...next)
+      const answers = await Promise.all(
+        next.map(({address}) => clients.reach(address).takeOver(term, FITTER_ANSWER_MS)),
+      )
+      const accepted = next.filter((_, index) => answers[index]?.unwrapOr(false))
+      if (accepted.length > 0) return {asked, accepted}
+    }
+    return {asked, accepted: []}
+  }
+
   async function standBack(term: number, peers: readonly PeerAnswer[]): Promise<void> {
     const startedAt = clock.now()
     const replaced = leader()
     const others = listContenders(peers)
     const fitter = findFitterPeers(others, peers)
-    const asked = term > 0 ? fitter.slice(0, MAX_ASKED) : []
-    const answers = await Promise.all(
-      asked.map(({address}) => clients.reach(address).takeOver(term, FITTER_ANSWER_MS)),
-    )
-    const accepted = asked.filter((_, index) => answers[index]?.unwrapOr(false))
+    const {asked, accepted} = term > 0 ? await askToClaim(term, fitter) : NOBODY_ASKED
     const isAlone = isWeak(describeSelf()) && others.length === 0
     const waitUntil = startedAt + (accepted.length > 0 || isAlone ? STAND_BACK_MS : 0)
     while (clock.now() < waitUntil && leader() === replaced && !isStopped())
--- a/src/planner/instance.ts
+++ b/src/planner/instance.ts
@@ -7,18 +7,10 @@
 import {sleep} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
 import type {Random} from "../core/random.js"
-import type {
-  AdviceQuestion,
-  AdviceReply,
-  FleetClients,
-  FleetHandlers,
-  Member,
-  Ping,
-  PingAnswer,
-  QueueLoad,
-} from "../peer/fleet.js"
+import type {FleetClients, FleetHandlers, Member, Ping, PingAnswer, QueueLoad} from "../peer/fleet.js"
 import type {FleetConfiguration} from "../pipelines/model.js"
 import type {AdviceCalls, FleetReader, KeyValueStore, WorkerCalls} from "../pipelines/ports.js"
+import {createAdviceCaller} from "./advicecaller.js"
 import type {AdviceRequester} from "./advicedispatcher.js"
 import {createConfigurationHolder} from "./configurationholder.js"
 import {createConfigurationUpdater} from "./configurationupdater.js"
@@ -157,20 +149,10 @@
     }
   }
 
-  async function ask({step, workers, timeoutMs}: AdviceQuestion): Promise<AdviceReply> {
-    const askedAt = clock.now()
-    const answer = await advice.ask(step, workers, timeoutMs)
-    const serviceMs = clock.now() - askedAt
-    if (answer.isErr())
-      log.warn(
-        {event: "advice-error", step, took: Math.round(serviceMs), reason: answer.error.message},
-        "a request for advice failed",
-      )
-    return {permits: answer.unwrapOr(undefined), queuedMs: 0, serviceMs}
-  }
+  const adviceCaller = createAdviceCaller(clock, log, advice, () => isDraining)
 
   function askerOf(member: Member): AdviceRequester {
-    if (member.name === identity.member.name) return {...member, requestAdvice: ask}
+    if (member.name === identity.member.name) return {...member, requestAdvice: adviceCaller.ask}
     return {
       ...member,
       async requestAdvice(question) {
@@ -227,7 +209,7 @@
     storeJob: async (record, alreadyStored) => planner?.storeJob(record, alreadyStored) ?? "not-leader",
     jobState: job => planner?.stateOf(job) ?? "",
     cancelJob: async (job, alreadyStored) => planner?.cancel(job, alreadyStored) ?? "not-stored",
-    ask,
+    ask: adviceCaller.ask,
     takeOver: term => leadership.takeOver(term),
     configuration: configuration.text,
     acceptChannel: carrier.accept,
@@ -256,6 +238,7 @@
     counts: () => ({
       leads: leadership.isLeader() ? 1 : 0,
       members: leadership.members().length,
+      advice_refused: adviceCaller.countBusy(),
       ...planner?.counts(),
     }),
     start() {
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -172,7 +172,7 @@
     onChange: () => writeTerm(followers.current()),
   })
   const queueServices = createQueueServices()
-  const adviceDispatcher = createAdviceDispatcher(clock, log, term, adviceRequesters)
+  const adviceDispatcher = createAdviceDispatcher(clock, log, adviceRequesters)
   const jobs = createJobTable(clock, log, ledger, findQueue, stopAllRuns)
 
   function findQueue(name: string): Queue | undefined {
--- a/test/fleet/adviser.test.ts
+++ b/test/fleet/adviser.test.ts
@@ -17,11 +17,11 @@
       async requestAdvice({step}): Promise<AdviceReply> {
         await sleep(clock, duration)
         const permits = isFailing() ? undefined : [{worker: "w", ticket: step}]
-        return {permits, queuedMs: 0, serviceMs: duration}
+        return {permits, busyMs: 0, serviceMs: duration}
       },
     }
   })
-  const dispatcher = createAdviceDispatcher(clock, SILENT_LOGGER, 1, () => requesters)
+  const dispatcher = createAdviceDispatcher(clock, SILENT_LOGGER, () => requesters)
   const submit = (step: string, rest: Partial<AdviceRequest> = {}): void =>
     dispatcher.submit({
       step,
@@ -69,7 +69,7 @@
       },
     }
   })
-  const dispatcher = createAdviceDispatcher(virtualClock(), SILENT_LOGGER, 1, () => members)
+  const dispatcher = createAdviceDispatcher(virtualClock(), SILENT_LOGGER, () => members)
   const request = {workers: ["w"], priority: 0, isWanted: () => true, onAnswer: () => undefined}
   dispatcher.submit({...request, step: "long", duration: 900})
   dispatcher.submit({...request, step: "short", duration: 30})
--- a/test/fleet/connections.test.ts
+++ b/test/fleet/connections.test.ts
@@ -32,7 +32,7 @@
   storeJob: () => Promise.resolve("stored"),
   jobState: job => `state of ${job}`,
   cancelJob: () => Promise.resolve("cancelled"),
-  ask: () => Promise.resolve({permits: undefined, queuedMs: 0, serviceMs: 0}),
+  ask: () => Promise.resolve({permits: undefined, busyMs: 0, serviceMs: 0}),
   takeOver: () => false,
   configuration: () => "",
   acceptChannel: () => ({receive: () => undefined, onClosed: () => undefined}),
--- a/test/fleet/starting.test.ts
+++ b/test/fleet/starting.test.ts
@@ -158,14 +158,14 @@
     processors: 1,
     async requestAdvice() {
       await sleep(clock, 500)
-      return {permits: [{worker: "worker-1", ticket: "ticket"}], queuedMs: 0, serviceMs: 30}
+      return {permits: [{worker: "worker-1", ticket: "ticket"}], busyMs: 0, serviceMs: 30}
     },
   }
   const starter = createStarter({
     term: 1,
     clock,
     log: SILENT_LOGGER,
-    adviceDispatcher: createAdviceDispatcher(clock, SILENT_LOGGER, 1, () => [requester]),
+    adviceDispatcher: createAdviceDispatcher(clock, SILENT_LOGGER, () => [requester]),
     linkOf: noOp,
     isClosed: () => false,
     releaseAssignment: release,
--- a/test/fleet/succession.test.ts
+++ b/test/fleet/succession.test.ts
@@ -1,7 +1,13 @@
 /** Who succeeds a leader that failed, in a fleet of unlike instances, and when a leader hands over. */
 import test from "ava"
 import type {Contender, LeaderDuty} from "../../src/pipelines/succession.js"
-import {findFitter, findSuccessors, fitness, leadingPower} from "../../src/pipelines/succession.js"
+import {
+  findFitter,
+  findSuccessors,
+  fitness,
+  leadingPower,
+  takeFittestClass,
+} from "../../src/pipelines/succession.js"
 import {jobOf, testFleet} from "../support/fleet.js"
 import type {TestFleet} from "../support/fleet.js"
 
@@ -38,6 +44,14 @@
   t.deepEqual(namesOf(findFitter(contender("close", 1.2, 0), [STRONG, SMALL])), [])
 })
 
+test("those about as fit as the fittest are asked to claim before all others", t => {
+  const cold = {...STRONG, name: "cold", isWarm: false}
+  const ranked = [STRONG, {...STRONG, name: "second"}, contender("close", 1.2, 0), cold, NARROW]
+  t.deepEqual(namesOf(takeFittestClass(ranked)), ["strong", "second", "close"])
+  t.deepEqual(namesOf(takeFittestClass([cold, NARROW])), ["cold"])
+  t.deepEqual(takeFittestClass([]), [])
+})
+
 test("among equal instances nobody stands back, whether cold or warm", t => {
   const equal = ["a", "b", "c"].map(name => contender(name, 0.675, 1000, name !== "a"))
   for (const one of equal)
