--- a/test/fleet/succession.test.ts
+++ b/test/fleet/succession.test.ts
@@ -130,6 +130,18 @@
   t.deepEqual(new Set(successors), new Set(["1.35 warm"]))
 })
 
+test("a leader that restarts before anyone has missed it leaves the claim to a warm instance", async t => {
+  for (const seed of [1, 2, 3, 4, 5]) {
+    const fleet = await settledFleet(seed)
+    const former = fleet.leader() ?? ""
+    fleet.kill(former)
+    fleet.clock.after(5, () => fleet.start(former))
+    t.true((await awaitLeader(fleet)) < 500)
+    t.not(fleet.leader(), former)
+    t.true(STRONG_NAMES.includes(fleet.leader() ?? ""))
+  }
+})
+
 test("a weak instance claims soon after all strong ones have died, whether their machines answer or not", async t => {
   for (const isSilent of [false, true]) {
     const fleet = await settledFleet(3)
