--- a/src/planner/advicedispatcher.ts
+++ b/src/planner/advicedispatcher.ts
@@ -78,18 +78,18 @@
   const avoidedUntil = new Map<string, Milliseconds>()
 
   /** Instances without a call in flight that are not avoided. */
-  function findAvailable(): readonly AdviceRequester[] {
+  function findAvailable(requesters: readonly AdviceRequester[]): readonly AdviceRequester[] {
     const now = clock.now()
-    return listRequesters().filter(
+    return requesters.filter(
       ({name}) => !isLongCallByInstance.has(name) && (avoidedUntil.get(name) ?? 0) <= now,
     )
   }
 
   /** Removes the most urgent request from the queue that may be sent. */
-  function takeNext(): QueuedRequest | undefined {
+  function takeNext(instances: number): QueuedRequest | undefined {
     const longCalls = [...isLongCallByInstance.values()].filter(Boolean).length
     const waiting = queue.map(({request}) => request)
-    const next = findNextCall(waiting, mayMakeLongCall(listRequesters().length, longCalls))
+    const next = findNextCall(waiting, mayMakeLongCall(instances, longCalls))
     return next < 0 ? undefined : queue.splice(next, 1)[0]
   }
 
@@ -132,11 +132,11 @@
   }
 
   /** Like `takeNext`, but drops requests that are no longer wanted. */
-  function takeNextWanted(): QueuedRequest | undefined {
-    let queued = takeNext()
+  function takeNextWanted(instances: number): QueuedRequest | undefined {
+    let queued = takeNext(instances)
     while (queued && !queued.request.isWanted()) {
       queued.request.onAnswer(undefined, clock.now(), undefined)
-      queued = takeNext()
+      queued = takeNext(instances)
     }
     return queued
   }
@@ -144,9 +144,10 @@
   /** Sends queued requests to available instances. */
   function dispatch(): void {
     if (queue.length === 0) return
-    const free = new Set(findAvailable())
+    const requesters = listRequesters()
+    const free = new Set(findAvailable(requesters))
     while (free.size > 0) {
-      const queued = takeNextWanted()
+      const queued = takeNextWanted(requesters.length)
       if (!queued) return
       const requester = chooseCallMaker(queued.request, [...free])
       if (!requester) return
@@ -160,6 +161,6 @@
       queue.push({request, submittedAt: clock.now()})
       dispatch()
     },
-    countIdle: () => findAvailable().length - queue.length,
+    countIdle: () => findAvailable(listRequesters()).length - queue.length,
   }
 }
