--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -618,7 +618,7 @@
     cancel,
     loads,
     recordFollower: followers.record,
-    duty: () => ({plannedFor: Math.max(0, clock.now() - loadedAt), openSteps}),
+    duty: () => ({plannedFor: Math.round(Math.max(0, clock.now() - loadedAt)), openSteps}),
     schedulePass,
     counts: () => ({
       active: jobs.active.size,
