--- a/src/peer/fleet.ts
+++ b/src/peer/fleet.ts
@@ -21,6 +21,10 @@
   readonly address: string
   /** Capacity that the instance may use, in processors of standard speed. */
   readonly processors: number
+  /** Megabits a second that its link carries; 0 or undefined if that is not known. */
+  readonly linkMegabits?: number
+  /** It has been up and in touch with a leader for some seconds. */
+  readonly isWarm?: boolean
 }
 
 /** Load of one queue. It is part of each ping answer, so that every instance can answer callers. */
@@ -65,6 +69,8 @@
   readonly members: readonly Member[] | undefined
   /** The digest of the leader's list of members; 0 at other instances. */
   readonly membersDigest: number
+  /** The members most fit to lead that the instance knows of; only for a sender that has no list of members. */
+  readonly fittest: readonly Member[]
   /** The counts of the instance as the leader; undefined when it has none. */
   readonly queues: CountedLoads | undefined
   /** How long the leader has come no further in reading its work; 0 once it has read it, or if it does not lead. */
@@ -88,6 +94,24 @@
   readonly ticket: string
 }
 
+/** A call to the advice service that the leader asks another instance to make. */
+export interface AdviceQuestion {
+  readonly step: string
+  readonly workers: readonly string[]
+  readonly timeoutMs: Milliseconds
+  /** How long the advice service is expected to work on the call. */
+  readonly durationMs: Milliseconds
+}
+
+export interface AdviceReply {
+  /** Undefined if the advice service gave no answer. */
+  readonly permits: readonly PermitRow[] | undefined
+  /** Not 0 if the instance has made no call, since its turn at the service is taken for about this long. */
+  readonly busyMs: Milliseconds
+  /** Time until the advice service answered, or until the instance gave up. */
+  readonly serviceMs: Milliseconds
+}
+
 /** Implementation of the calls that an instance serves to its peers. */
 export interface FleetHandlers {
   readonly ping: (ping: Ping) => PingAnswer
@@ -101,12 +125,8 @@
     alreadyStored: boolean,
     caller: Caller | undefined,
   ) => Promise<CancelAnswer>
-  /** Asks the advice service for permits of a step on the given workers; undefined if it did not answer. */
-  readonly ask: (
-    step: string,
-    workers: readonly string[],
-    timeout: Milliseconds,
-  ) => Promise<readonly PermitRow[] | undefined>
+  /** Asks the advice service for permits of a step on the given workers. */
+  readonly ask: (question: AdviceQuestion) => Promise<AdviceReply>
   /** Asks the instance to become leader after the leader of `term`; true if it accepts. */
   readonly takeOver: (term: number) => boolean
   /** The configuration in force as its text in the store; empty if there is none. */
@@ -136,11 +156,7 @@
     caller: Caller | undefined,
     timeout: Milliseconds,
   ) => Promise<Result<CancelAnswer, CallFailed>>
-  readonly ask: (
-    step: string,
-    workers: readonly string[],
-    timeout: Milliseconds,
-  ) => Promise<Result<readonly PermitRow[] | undefined, CallFailed>>
+  readonly ask: (question: AdviceQuestion) => Promise<Result<AdviceReply, CallFailed>>
   readonly takeOver: (term: number, timeout: Milliseconds) => Promise<Result<boolean, CallFailed>>
   readonly configuration: (timeout: Milliseconds) => Promise<Result<string, CallFailed>>
   /** Opens a channel over which the instance carries calls of this term to workers. */
@@ -233,11 +249,11 @@
         const {outcome} = await client.cancelJob(request, {timeoutMs})
         return CANCEL_ANSWERS.has(outcome) ? (outcome as CancelAnswer) : "not-stored"
       }),
-    ask: (step, workers, timeout) =>
+    ask: question =>
       runCall(async () => {
-        const request = {step, workers: [...workers], timeoutMs: timeout}
-        const reply = await client.ask(request, {timeoutMs: timeout + ASK_TIMEOUT_MARGIN_MS})
-        return reply.answered ? reply.permits : undefined
+        const request = {...question, workers: [...question.workers]}
+        const reply = await client.ask(request, {timeoutMs: question.timeoutMs + ASK_TIMEOUT_MARGIN_MS})
+        return {...reply, permits: reply.answered ? reply.permits : undefined}
       }),
     takeOver: (term, timeoutMs) => runCall(async () => (await client.takeOver({term}, {timeoutMs})).accepted),
     configuration: timeoutMs => runCall(async () => (await client.configuration({}, {timeoutMs})).value),
@@ -280,6 +296,7 @@
           loadingMs: Math.ceil(answer.loadingMs),
           configurationAgeMs: Math.ceil(answer.configurationAgeMs),
           members: [...(answer.members ?? [])],
+          fittest: [...answer.fittest],
           queues: (answer.queues?.loads ?? []).map(queue => ({
             ...queue,
             retryAfterMs: Math.round(queue.retryAfterMs),
@@ -295,9 +312,14 @@
         const outcome = await handlers.cancelJob(job, alreadyStored, parseCaller(workspace))
         return {outcome: outcome === "not-stored" ? "" : outcome}
       },
-      async ask({step, workers, timeoutMs}) {
-        const permits = await handlers.ask(step, workers, timeoutMs)
-        return {answered: permits !== undefined, permits: [...(permits ?? [])]}
+      async ask(question) {
+        const {permits, busyMs, serviceMs} = await handlers.ask(question)
+        return {
+          answered: permits !== undefined,
+          permits: [...(permits ?? [])],
+          busyMs: Math.ceil(busyMs),
+          serviceMs: Math.round(serviceMs),
+        }
       },
       takeOver: ({term}) => ({accepted: handlers.takeOver(term)}),
       configuration: () => ({value: handlers.configuration()}),
--- a/src/planner/instance.ts
+++ b/src/planner/instance.ts
@@ -10,6 +10,7 @@
 import type {FleetClients, FleetHandlers, Member, Ping, PingAnswer, QueueLoad} from "../peer/fleet.js"
 import type {FleetConfiguration} from "../pipelines/model.js"
 import type {AdviceCalls, FleetReader, KeyValueStore, WorkerCalls} from "../pipelines/ports.js"
+import {createAdviceCaller} from "./advicecaller.js"
 import type {AdviceRequester} from "./advicedispatcher.js"
 import {createAuthorizer} from "./authorizer.js"
 import type {Authorizer} from "./authorizer.js"
@@ -105,6 +106,7 @@
       updater.recordLeaderVersion(answer.configurationVersion, answer.configurationAgeMs, sentAt)
     },
     isStoreFailing: () => storeHealth.failingFor() > 0,
+    duty: () => planner?.duty() ?? {plannedFor: 0, openSteps: 0},
   })
   const updater = createConfigurationUpdater({
     clock,
@@ -161,23 +163,14 @@
     }
   }
 
-  async function ask(
-    step: string,
-    workers: readonly string[],
-    timeout: Milliseconds,
-  ): ReturnType<FleetHandlers["ask"]> {
-    const answer = await advice.ask(step, workers, timeout)
-    if (answer.isErr())
-      log.warn({event: "advice-error", step, reason: answer.error.message}, "a request for advice failed")
-    return answer.unwrapOr(undefined)
-  }
+  const adviceCaller = createAdviceCaller(clock, log, advice, () => isDraining)
 
   function askerOf(member: Member): AdviceRequester {
-    if (member.name === identity.member.name) return {...member, requestAdvice: ask}
+    if (member.name === identity.member.name) return {...member, requestAdvice: adviceCaller.ask}
     return {
       ...member,
-      async requestAdvice(step, workers, timeout) {
-        const answer = await clients.reach(member.address).ask(step, workers, timeout)
+      async requestAdvice(question) {
+        const answer = await clients.reach(member.address).ask(question)
         return answer.unwrapOr(undefined)
       },
     }
@@ -211,6 +204,7 @@
       configurationAgeMs: Math.min(updater.age(), 1e6),
       members: list?.digest === membersDigest ? undefined : list?.members,
       membersDigest: list?.digest ?? 0,
+      fittest: membersDigest === 0 ? leadership.fittest() : [],
       queues: planner?.loads(),
       loadingMs: planner?.loadingFor() ?? 0,
       clockMs: clock.now(),
@@ -230,7 +224,7 @@
     jobState: (job, caller) => planner?.stateOf(job, caller) ?? "",
     cancelJob: async (job, alreadyStored, caller) =>
       planner?.cancel(job, alreadyStored, caller) ?? "not-stored",
-    ask,
+    ask: adviceCaller.ask,
     takeOver: term => leadership.takeOver(term),
     configuration: configuration.text,
     acceptChannel: carrier.accept,
@@ -261,6 +255,7 @@
       leads: leadership.isLeader() ? 1 : 0,
       members: leadership.members().length,
       ...authorizer.counts(),
+      advice_refused: adviceCaller.countBusy(),
       ...planner?.counts(),
     }),
     start() {
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -116,6 +116,8 @@
   readonly withdrawalLimit?: Milliseconds
   /** The processors that each instance may use, by name; 1 by default. */
   readonly processors?: Readonly<Record<string, number>>
+  /** Megabits a second that the link of each instance carries, by name; not known by default. */
+  readonly links?: Readonly<Record<string, number>>
 }
 
 export interface LogLine {
@@ -237,13 +239,7 @@
         jobState: (job, client, timeout) => call(handlers => handlers.jobState(job, client), timeout),
         cancelJob: (job, stored, client, timeout) =>
           call(handlers => handlers.cancelJob(job, stored, client), timeout),
-        ask: async (step, names, timeout) => {
-          const answer = await call(
-            async handlers => ({permits: await handlers.ask(step, names, timeout)}),
-            timeout,
-          )
-          return answer.map(({permits}) => permits)
-        },
+        ask: question => call(handlers => handlers.ask(question), question.timeoutMs),
         takeOver: (term, timeout) => call(handlers => handlers.takeOver(term), timeout),
         configuration: timeout => call(handlers => handlers.configuration(), timeout),
         openChannel: (term, listener) =>
@@ -279,7 +275,12 @@
     incarnations += 1
     const instance = createFleetInstance(
       {
-        member: {name, address: addressOf(name), processors: options.processors?.[name] ?? 1},
+        member: {
+          name,
+          address: addressOf(name),
+          processors: options.processors?.[name] ?? 1,
+          linkMegabits: options.links?.[name] ?? 0,
+        },
         incarnation: `life-${incarnations}`,
         seeds: names.map(addressOf),
         longestLease: 10_000,
