--- a/src/planner/leadership.ts
+++ b/src/planner/leadership.ts
@@ -7,12 +7,16 @@
  * them has heard it.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
-import {sleep} from "../core/clock.js"
+import {sleep, withTimeout} from "../core/clock.js"
 import type {Random} from "../core/random.js"
 import {shuffled} from "../core/random.js"
 import type {Logger} from "../core/logger.js"
 import type {FleetClients, Member, Ping, PingAnswer} from "../peer/fleet.js"
 import type {KeyValueStore, StoredItem} from "../pipelines/ports.js"
+import type {LeaderDuty} from "../pipelines/succession.js"
+import {findSuccessors, isWarmAfter, leadingPower, rankByFitness} from "../pipelines/succession.js"
+import type {PeerAnswer} from "./claimorder.js"
+import {createClaimOrder, MAX_CLAIM_DELAY_MS} from "./claimorder.js"
 import {createMembers} from "./members.js"
 import {describeFormerTerm, NO_FORMER_TERM} from "./earlierleaders.js"
 import type {FormerTerm} from "./records.js"
@@ -43,6 +47,14 @@
   readonly onLeaderAnswer: (answer: PingAnswer, sentAt: Milliseconds) => void
   /** True while calls of this instance to the store fail or are late. */
   readonly isStoreFailing: () => boolean
+  /** How busy this instance is as the leader. */
+  readonly duty: () => LeaderDuty
+}
+
+/** What the other instances say of a silent leader. */
+interface PeerVerdict {
+  readonly verdict: "heard" | "silent" | "isolated"
+  readonly peers: readonly PeerAnswer[]
 }
 
 export interface Leadership {
@@ -61,13 +73,15 @@
   readonly others: () => readonly Member[]
   /** On the leader: the members with the digest by which followers tell whether they have this list. */
   readonly listForFollowers: () => {readonly members: readonly Member[]; readonly digest: number}
+  /** The members most fit to lead, for an instance that has no list. */
+  readonly fittest: () => readonly Member[]
   /** Records the sender of a ping that announces no lead. */
   readonly recordMember: (member: Member) => void
   /** Gives up leadership after a worker or the store refused this instance because of a later leader. */
   readonly stepDown: () => void
   /** Asks a follower to take over before a planned stop. */
   readonly handOver: () => Promise<void>
-  /** Takes over from the leader of the given term, at its or a weak follower's request. False if this instance cannot. */
+  /** Takes over from the leader of the given term, at its or a less fit follower's request. False if this instance cannot. */
   readonly takeOver: (term: number) => boolean
   readonly start: () => void
   readonly stop: () => void
@@ -87,6 +101,9 @@
 const NEW_LEADER_PERIOD_MS: Milliseconds = 2000
 /** Nothing waits for the answers, but the leader must not cancel an announcement that is still being sent. */
 const ANNOUNCEMENT_TIMEOUT_MS: Milliseconds = 1000
+/** Instances to which a new leader announces itself at a time, so that it has time for its own work in between. */
+const ANNOUNCED_AT_ONCE = 32
+const ANNOUNCEMENT_PAUSE_MS: Milliseconds = 10
 /** Shorter than for the leader, because followers have little to do. */
 const PEER_TIMEOUT_MS: Milliseconds = 250
 /** A leader that the store has not answered for this long is replaced by a follower that can reach the store. */
@@ -107,28 +124,22 @@
 const MAX_OBSERVED_SILENCE_MS: Milliseconds = 700
 /** An instance that reaches no other instance does not claim leadership for this long. */
 const ISOLATION_TIMEOUT_MS: Milliseconds = 5000
-/**
- * Upper bound of the random delay before a claim, so that instances which find the leader dead do not all claim at
- * once.
- */
-const MAX_CLAIM_DELAY_MS: Milliseconds = 60
 const CLAIM_RETRY_MS: Milliseconds = 150
-/**
- * Planning for 245 workers at peak load takes more than this many processors. An instance with fewer is weak: it leads
- * only if there is no stronger one.
- */
-const MIN_LEADER_PROCESSORS = 0.5
-/** Additional delay before a weak instance claims leadership. */
-const WEAK_CLAIM_DELAY_MS: Milliseconds = 300
-/** Minimum time between a weak leader's offers to hand over to a stronger follower. */
+/** Minimum time between a leader's offers to hand over to a fitter follower. */
 const OFFER_INTERVAL_MS: Milliseconds = 2000
-/** Stronger followers asked in one round of offers. */
+/** Fitter instances asked in one round of offers. */
 const MAX_OFFERS = 3
+/** The fittest members named to an instance that has no list; the silent leader may be one of them. */
+const FITTEST_NAMED = 5
 
-function isWeak(member: Member): boolean {
-  return member.processors < MIN_LEADER_PROCESSORS
+/** The least fit member is named as well, since it shows whether the instances differ. */
+function nameFittest(members: readonly Member[]): readonly Member[] {
+  const ranked = rankByFitness(members)
+  return [...ranked.slice(0, FITTEST_NAMED), ...ranked.slice(FITTEST_NAMED).slice(-1)]
 }
 
+const NO_PEERS: PeerVerdict = {verdict: "silent", peers: []}
+
 export function createLeadership(ports: LeadershipPorts): Leadership {
   const {clock, random, log, store, clients, self, incarnation} = ports
   let currentLeader: LeaderView | undefined
@@ -148,8 +159,23 @@
   /** When this instance last offered to hand over in its term. */
   let lastOfferAt = -Infinity
   let isolatedSince: Milliseconds | undefined
+  /** Since when this instance has been in touch with a leader, or has led. */
+  let inTouchSince = Infinity
   const members = createMembers(clock, self, ports.seeds)
 
+  function describeSelf(): Member {
+    return {...self, isWarm: isWarmAfter(clock.now() - inTouchSince)}
+  }
+
+  const claimOrder = createClaimOrder({
+    ...ports,
+    describeSelf,
+    announced: members.announced,
+    leader: () => currentLeader,
+    isStopped: () => isStopped,
+  })
+  const {standBack} = claimOrder
+
   /** The terms that this instance has known of, in order, with the times at which it first did. */
   let knownTerms: readonly {readonly term: number; readonly since: Milliseconds}[] = []
 
@@ -220,21 +246,6 @@
     applyLeaderItem(item, sentAt)
   }
 
-  /**
-   * Waits for a random time before a claim. A weak instance first asks stronger ones to claim in its place, since they
-   * may not have noticed yet, and waits longer if there may be any.
-   */
-  async function delayClaim(): Promise<void> {
-    const others = members
-      .announced()
-      .filter(({name}) => name !== self.name && name !== currentLeader?.member.name)
-    const stronger = isWeak(self) ? others.filter(member => !isWeak(member)) : []
-    const shouldDelay = isWeak(self) && (others.length === 0 || stronger.length > 0)
-    for (const member of shuffled(random, stronger).slice(0, MAX_OFFERS))
-      void clients.reach(member.address).takeOver(currentLeader?.term ?? 0, OFFER_TIMEOUT_MS)
-    await sleep(clock, random.next() * MAX_CLAIM_DELAY_MS + (shouldDelay ? WEAK_CLAIM_DELAY_MS : 0))
-  }
-
   function becomeLeader(term: number, confirmedAt: Milliseconds): void {
     if (isLeading && currentLeader?.term === term) return
     // The reply to a claim came after another instance had taken over.
@@ -245,81 +256,102 @@
     isLeading = true
     leaderAnsweredAt = clock.now()
     isolatedSince = undefined
+    inTouchSince = Math.min(inTouchSince, clock.now())
     log.info({event: "leading", term, instance: self.name}, "this instance is the leader")
     leadingSince = clock.now()
     lastOfferAt = -Infinity
+    void announceToAll()
     ports.onBecomeLeader(term, confirmedAt)
   }
 
-  /** Asks followers to take over, those with the most processors first, until one accepts. */
+  /** Asks followers in this order to take over, until one accepts. */
   async function offerLead(candidates: readonly Member[], reason: string): Promise<void> {
     const term = currentLeader?.term ?? 0
-    const strongest = [...candidates].sort((one, other) => other.processors - one.processors)
-    for (const member of strongest) {
+    for (const member of candidates) {
       const accepted = await clients.reach(member.address).takeOver(term, OFFER_TIMEOUT_MS)
       if (accepted.isOk() && accepted.value) {
-        log.info({event: "hand-over", term, to: member.name, reason}, "leadership handed over")
+        const {name: to, isWarm} = member
+        const powers = {power: leadingPower(self), toPower: leadingPower(member), isWarm}
+        log.info({event: "hand-over", term, to, ...powers, ...ports.duty(), reason}, "leadership handed over")
         return
       }
     }
   }
 
-  async function offerLeadIfWeak(): Promise<void> {
-    if (!isWeak(self) || clock.now() - lastOfferAt < OFFER_INTERVAL_MS) return
-    const stronger = currentMembers().filter(member => !isWeak(member))
-    if (stronger.length === 0) return
+  /** Offers the lead to fitter followers, if this instance may hand over now. */
+  async function offerLeadIfUnfit(): Promise<void> {
+    if (clock.now() - lastOfferAt < OFFER_INTERVAL_MS) return
+    const followers = currentMembers().filter(({name}) => name !== self.name)
+    const successors = findSuccessors(describeSelf(), followers, ports.duty())
+    if (successors.length === 0) return
     lastOfferAt = clock.now()
-    await offerLead(stronger.slice(0, MAX_OFFERS), "a stronger instance follows")
+    await offerLead(successors.slice(0, MAX_OFFERS), "a fitter instance follows")
   }
 
   function describePing(): Ping {
     const followedTerm = isLeading ? 0 : (currentLeader?.term ?? 0)
     const membersDigest = members.announcedDigest()
-    return {sender: self, ledTerm: 0, followedTerm, leaderClockMs, membersDigest}
+    return {sender: describeSelf(), ledTerm: 0, followedTerm, leaderClockMs, membersDigest}
   }
 
-  /** Pings other instances, and follows a later leader if one of them names it. */
-  async function pingPeers(): Promise<readonly PingAnswer[]> {
+  /** The addresses to ping while the leader is silent: the witnesses, those most fit to succeed it, and others. */
+  function choosePeers(): readonly string[] {
     const leaderAddress = currentLeader?.member.address ?? ""
     const witnesses = members.witnesses(leaderAddress, false).filter(address => address !== self.address)
+    const fittest = claimOrder.listFittest().filter(address => !witnesses.includes(address))
     const rest = members
       .addresses()
-      .filter(address => address !== leaderAddress && !witnesses.includes(address))
-    const others = [...witnesses, ...shuffled(random, rest).slice(0, MAX_ASKED_PEERS)]
-    const answers = await Promise.all(
-      others.map(address => clients.reach(address).ping(describePing(), PEER_TIMEOUT_MS)),
+      .filter(
+        address => address !== leaderAddress && !witnesses.includes(address) && !fittest.includes(address),
+      )
+    return [...witnesses, ...fittest, ...shuffled(random, rest).slice(0, MAX_ASKED_PEERS - fittest.length)]
+  }
+
+  /** Pings other instances, and follows a later leader if one of them names it. */
+  async function pingPeers(): Promise<readonly PeerAnswer[]> {
+    const peers = await Promise.all(
+      choosePeers().map(async (address): Promise<PeerAnswer> => {
+        const answer = await clients.reach(address).ping(describePing(), PEER_TIMEOUT_MS)
+        return {address, answer: answer.unwrapOr(undefined)}
+      }),
     )
-    const reached = answers.filter(answer => answer.isOk()).map(answer => answer.value)
-    for (const answer of reached)
-      if (answer.leader) followLeader(answer.term, answer.leader, currentLeader !== undefined)
-    return reached
+    for (const {answer} of peers)
+      if (answer?.leader) followLeader(answer.term, answer.leader, currentLeader !== undefined)
+    return peers
   }
 
   /**
-   * Asks other followers whether they have heard the leader of the given term since `silentSince`. An instance that
-   * reaches no other one is isolated, and may not claim for `ISOLATION_TIMEOUT_MS`.
+   * Asks other followers whether they have heard the leader of the given term since `silentSince`. A leader that refuses
+   * connections has ended, and what was heard of it before counts for nothing. An instance that reaches no other one is
+   * isolated, and may not claim for `ISOLATION_TIMEOUT_MS`.
    */
-  async function askPeers(term: number, silentSince: Milliseconds): Promise<"heard" | "silent" | "isolated"> {
-    if (members.addresses().every(address => address === currentLeader?.member.address)) return "silent"
+  async function askPeers(
+    term: number,
+    silentSince: Milliseconds,
+    hasRefused: boolean,
+  ): Promise<PeerVerdict> {
+    if (members.addresses().every(address => address === currentLeader?.member.address)) return NO_PEERS
     // Ages count from before the calls, since the slowest of them delays all answers.
-    const age = Math.max(RECENTLY_HEARD_MS, clock.now() - silentSince)
-    const reached = await pingPeers()
+    const age = Math.max(hasRefused ? 0 : RECENTLY_HEARD_MS, clock.now() - silentSince)
+    const peers = await pingPeers()
+    const reached = peers.map(({answer}) => answer).filter(answer => answer !== undefined)
     if (reached.some(answer => answer.term === term && answer.leaderAgeMs < age && !answer.leads)) {
       log.info({event: "leader-busy", term}, "another instance has heard the leader, which is busy")
-      return "heard"
+      return {verdict: "heard", peers}
     }
     if (reached.length > 0) {
       isolatedSince = undefined
-      return "silent"
+      return {verdict: "silent", peers}
     }
     isolatedSince ??= clock.now()
-    return clock.now() - isolatedSince > ISOLATION_TIMEOUT_MS ? "silent" : "isolated"
+    const isIsolated = clock.now() - isolatedSince <= ISOLATION_TIMEOUT_MS
+    return {verdict: isIsolated ? "isolated" : "silent", peers}
   }
 
   /** Claims the leader key if it is absent or its leader has not been heard since `silentSince`. */
-  async function resolveLeader(silentSince: Milliseconds): Promise<void> {
+  async function resolveLeader(silentSince: Milliseconds, hasRefused = false): Promise<void> {
     const view = currentLeader
-    const verdict = view ? await askPeers(view.term, silentSince) : "silent"
+    const {verdict, peers} = view ? await askPeers(view.term, silentSince, hasRefused) : NO_PEERS
     if (verdict === "heard" || currentLeader !== view) return
     const sentAt = clock.now()
     const [read, termRecord] = await Promise.all([store.read(LEADER_KEY), store.read(TERM_KEY)])
@@ -331,7 +363,7 @@
     }
     const item = read.value
     if (!item) {
-      await delayClaim()
+      await standBack(0, [])
       await claim(NO_FORMER_TERM)
       return
     }
@@ -340,7 +372,9 @@
     if (currentLeader && item.revision > term) return
     if (verdict === "isolated") return
     const replaced = currentLeader
-    await delayClaim()
+    // An instance that led before its restart has asked nobody. Those that are up answer within the usual delay.
+    const asked = view ? peers : await withTimeout(clock, pingPeers(), MAX_CLAIM_DELAY_MS, [])
+    if (currentLeader === replaced) await standBack(item.revision, asked)
     if (currentLeader === replaced && (replaced === undefined || replaced.term === item.revision))
       await claim(describeFormerTerm(item, termRecord.value))
   }
@@ -360,7 +394,7 @@
         "the leader did not answer a ping",
       )
       const isSilent = answer.error.certainty === "unknown"
-      if (!isSilent || leaderHeardAt < sentAt) await resolveLeader(sentAt)
+      if (!isSilent || leaderHeardAt < sentAt) await resolveLeader(sentAt, !isSilent)
       if (!isSilent) return
       roundTrips =
         (currentLeader as LeaderView | undefined)?.term === view.term
@@ -380,6 +414,7 @@
     }
     leaderAnsweredAt = clock.now()
     leaderHeardAt = leaderAnsweredAt
+    inTouchSince = Math.min(inTouchSince, leaderAnsweredAt)
     if (reply.term === view.term) leaderClockMs = reply.clockMs
     roundTrips = observeAnswer(roundTrips, leaderAnsweredAt - sentAt)
     if (reply.members) members.announce(reply.members, reply.membersDigest)
@@ -409,8 +444,9 @@
     const former = await readTerm(term)
     if (!former) return
     log.warn({event, term}, message)
-    await delayClaim()
-    await claim(former)
+    const replaced = currentLeader
+    await standBack(term, [])
+    if (currentLeader === replaced) await claim(former)
   }
 
   /**
@@ -423,16 +459,42 @@
     for (const address of members.witnesses(self.address, true)) void announceTo(address)
   }
 
-  /** Announces this leader to a witness, and follows a later leader that the witness knows of. */
-  async function announceTo(address: string): Promise<void> {
+  /**
+   * Announces a new leader to each instance that the former one listed. Those that answer follow it and work for it at
+   * once, where it would learn of them by their own pings only over the next second.
+   */
+  async function announceToAll(): Promise<void> {
     const view = currentLeader
-    if (!view) return
-    const ping = {sender: self, ledTerm: view.term, followedTerm: 0, leaderClockMs: 0, membersDigest: 0}
+    const listed = members.announced().filter(({name}) => name !== self.name)
+    for (let next = 0; next < listed.length && currentLeader === view; next += ANNOUNCED_AT_ONCE) {
+      for (const member of listed.slice(next, next + ANNOUNCED_AT_ONCE))
+        void announceTo(member.address).then(hasFollowed => {
+          if (hasFollowed) members.recordPing(member)
+        })
+      await sleep(clock, ANNOUNCEMENT_PAUSE_MS)
+    }
+  }
+
+  /**
+   * Announces this leader to another instance, and follows a later leader that the instance knows of. True if it follows
+   * this one.
+   */
+  async function announceTo(address: string): Promise<boolean> {
+    const view = currentLeader
+    if (!view) return false
+    const ping = {
+      sender: describeSelf(),
+      ledTerm: view.term,
+      followedTerm: 0,
+      leaderClockMs: 0,
+      membersDigest: 0,
+    }
     const answer = await clients.reach(address).ping(ping, ANNOUNCEMENT_TIMEOUT_MS)
-    if (answer.isErr() || isStopped || !isLeading || currentLeader !== view) return
+    if (answer.isErr() || isStopped || !isLeading || currentLeader !== view) return false
     const {term, leader} = answer.value
-    if (!leader || term <= view.term || leader.name === self.name) return
+    if (!leader || term < view.term || leader.name === self.name) return term === view.term
     followLeader(term, leader, true)
+    return false
   }
 
   async function runLoop(): Promise<void> {
@@ -443,7 +505,7 @@
       } else {
         announceLead()
         // Announcements go on while an offer waits for its answer.
-        void offerLeadIfWeak()
+        void offerLeadIfUnfit()
       }
       await sleep(clock, currentLeader ? computePingInterval() : CLAIM_RETRY_MS)
     }
@@ -473,6 +535,7 @@
     members: currentMembers,
     others: () => members.others(clock.now() - leadingSince < NEW_LEADER_PERIOD_MS),
     listForFollowers: members.listForFollowers,
+    fittest: () => nameFittest(currentMembers()),
     recordMember: members.recordPing,
     stepDown() {
       isLeading = false
@@ -482,12 +545,13 @@
       isDraining = true
       if (!isLeading || !currentLeader) return
       await offerLead(
-        currentMembers().filter(({name}) => name !== self.name),
+        rankByFitness(currentMembers().filter(({name}) => name !== self.name)),
         "this instance stops",
       )
     },
     takeOver(term) {
       if (isDraining || isStopped || isLeading || currentLeader?.term !== term) return false
+      if (ports.isStoreFailing()) return false
       log.info({event: "take-over", term}, "another instance asks this one to lead")
       void acceptLead(term)
       return true
--- a/test/fleet/adviser.test.ts
+++ b/test/fleet/adviser.test.ts
@@ -3,7 +3,7 @@
 import {virtualClock} from "../../src/core/virtualclock.js"
 import {sleep} from "../../src/core/clock.js"
 import {SILENT_LOGGER} from "../../src/core/logger.js"
-import type {Permit} from "../../src/pipelines/ports.js"
+import type {AdviceReply} from "../../src/peer/fleet.js"
 import {createAdviceDispatcher} from "../../src/planner/advicedispatcher.js"
 import type {AdviceRequester, AdviceRequest} from "../../src/planner/advicedispatcher.js"
 
@@ -14,9 +14,10 @@
     return {
       name: `entry-${index}`,
       processors: 1,
-      async requestAdvice(step): Promise<readonly Permit[] | undefined> {
+      async requestAdvice({step}): Promise<AdviceReply> {
         await sleep(clock, duration)
-        return isFailing() ? undefined : [{worker: "w", ticket: step}]
+        const permits = isFailing() ? undefined : [{worker: "w", ticket: step}]
+        return {permits, busyMs: 0, serviceMs: duration}
       },
     }
   })
@@ -62,7 +63,7 @@
     return {
       name: `processors ${processors}`,
       processors,
-      requestAdvice(step) {
+      requestAdvice({step}) {
         asked.push(`${step} at ${processors}`)
         return new Promise(() => undefined)
       },
