--- a/test/guards/guards.ts
+++ b/test/guards/guards.ts
@@ -15,6 +15,7 @@
 const OWNERSHIP = "failures/ownership.test.js"
 const ANSWERS = "requests/answers.test.js"
 const FLEET_FAILURES = "fleet/failures.test.js"
+const LIMITS = "fleet/limits.test.js"
 const LASTING = "fleet/lasting.test.js"
 
 export const GUARDS: readonly Guard[] = [
@@ -1030,4 +1031,44 @@
     test: "fleet/workerentries.test.js",
     match: "a worker that takes orders of another system*",
   },
+  {
+    name: "a workspace's tasks that a worker out of reach may run count under its limit",
+    file: "planner/workspaceuse.js",
+    find: "if (!sources.mayRunUnseen(active))",
+    replace: "if (true)",
+    test: LIMITS,
+    match: "the limit is kept through a takeover*",
+  },
+  {
+    name: "a workspace's runs count under its limit for a leader that knows only the outcome of their job",
+    file: "planner/planner.js",
+    find: "if (record?.remaining)",
+    replace: "if (false)",
+    test: LIMITS,
+    match: "the runs of a job that was cancelled under an earlier leader*",
+  },
+  {
+    name: "a workspace's runs count under its limit while a start order has no answer",
+    file: "planner/workspaceuse.js",
+    find: "add(sum, scale(step.demand, assignments.size))",
+    replace: "add(sum, scale(step.demand, [...assignments].filter(one => one.confirmedAt).length))",
+    test: LIMITS,
+    match: "orders that workers carry out late*",
+  },
+  {
+    name: "a workspace that wants far more than its share goes behind others",
+    file: "planner/stepsharing.js",
+    find: "if (uses.size === 0)",
+    replace: "if (true)",
+    test: "unit/fairshare.test.js",
+    match: "one workspace that sends seven times its usual*",
+  },
+  {
+    name: "a workspace cannot take another's part of the memory for accepted jobs",
+    file: "planner/acceptedmemory.js",
+    find: "workspaces.length === 0 ||",
+    replace: "true ||",
+    test: "fleet/schedules.test.js",
+    match: "a workspace that hands in more*",
+  },
 ]
