--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -247,11 +247,13 @@
       const index = indexWorkers(pool)
       const openSteps = listOpenSteps(passView)
       const budget = createWorkBudget(passView.workLimit)
-      const shares = shareSteps(openSteps, limitSteps(openSteps, passView), passView, pool)
-      const {steps} = shares
+      const limited = limitSteps(openSteps, passView)
+      const shares = shareSteps(openSteps, limited, passView, pool)
+      const {steps, exceeded} = shares
       const view = {...passView, shareRankOf: shares.shareRankOf}
       const withinShares = steps.filter(({rank}) => rank.shareRank !== BEYOND_SHARE)
-      const reserved = reserver.compute(view, pool, limitSteps(withinShares, view), index, budget)
+      const counted = exceeded.length === 0 ? limited : limitSteps(withinShares, view)
+      const reserved = reserver.compute(view, pool, counted, index, budget)
       const room = createWorkspaceRoom(view.workspaceUses)
       const state: PassState = {
         view,
@@ -313,7 +315,7 @@
       const {heldSteps} = state
       return {
         heldSteps,
-        exceededShares: shares.exceeded,
+        exceededShares: exceeded,
         openSteps: openSteps.length,
         preparation,
         work,
