Steps wait for a faster rack while the wait is expected to pay

Cause: a task was started at once on another rack than its data, however soon its own rack had room, and a gang over several racks likewise. Change: run times are learned per queue and step; a step that would start in a slower place is weighed against the expected time until a better one is free, bounded by its objective. Without a remote factor nothing changes.

--- a/src/cli/daemon.ts
+++ b/src/cli/daemon.ts
@@ -63,6 +63,7 @@
       incarnation,
       seeds: seedAddresses(settings),
       longestLease: settings.longestLease,
+      remoteFactor: settings.remoteFactor,
     },
     {
       clock,
--- a/src/pipelines/adviceselection.ts
+++ b/src/pipelines/adviceselection.ts
@@ -20,6 +20,8 @@
   readonly held: number
   /** An earlier call has reported that the step may run on the worker. */
   readonly allowed: boolean
+  /** The tasks run faster on the worker than on others. */
+  readonly isNear?: boolean
 }
 
 /** Limit of the advice service on the workers in one call. */
@@ -29,6 +31,9 @@
 /** Number of workers that a call may name however long they take. */
 const MIN_WORKERS_PER_CALL = 8
 
+/** Share of a call's workers that may be near ones in use, where enough others are free. */
+const NEAR_IN_USE_SHARE = 0.5
+
 function hasFreeCapacity(step: Step, candidate: AdviceCandidate): boolean {
   const demand = step.fills ? {...step.demand, processors: 0} : step.demand
   return fits(demand, candidate.free) && (step.perWorker === 0 || candidate.held < step.perWorker)
@@ -79,14 +84,20 @@
 ): readonly string[] {
   const rated = candidates.map(candidate => ({candidate, isFree: hasFreeCapacity(step, candidate)}))
   if (!ahead && !rated.some(({isFree}) => isFree)) return []
-  return rated
-    .sort(
-      (one, other) =>
-        Number(other.isFree) - Number(one.isFree) ||
-        Number(other.candidate.allowed) - Number(one.candidate.allowed),
-    )
-    .slice(0, workerLimit(terms))
-    .map(({candidate}) => candidate.id)
+  rated.sort(
+    (one, other) =>
+      Number(other.isFree) - Number(one.isFree) ||
+      Number(other.candidate.isNear ?? false) - Number(one.candidate.isNear ?? false) ||
+      Number(other.candidate.allowed) - Number(one.candidate.allowed),
+  )
+  const limit = workerLimit(terms)
+  const named = rated.slice(0, limit)
+  // Whether to wait for a near worker that is in use depends on whether the step may run there.
+  const nearInUse = rated
+    .slice(limit)
+    .filter(({candidate}) => candidate.isNear)
+    .slice(0, Math.floor(limit * NEAR_IN_USE_SHARE))
+  return [...named.slice(0, limit - nearInUse.length), ...nearInUse].map(({candidate}) => candidate.id)
 }
 
 /** Time that the advice service needs for a call with this many workers, rounded up to whole milliseconds. */
--- a/src/pipelines/order.ts
+++ b/src/pipelines/order.ts
@@ -36,7 +36,7 @@
 }
 
 /** A completion counts until this multiple of the latency objective has passed since arrival. */
-const LATE_FACTOR = 3
+export const LATE_FACTOR = 3
 
 /** Returns whether a completion no longer counts. Such a step still runs, after all others of its priority. */
 export function isTooLate(step: WaitingStep, now: Milliseconds): boolean {
--- a/src/planner/instance.ts
+++ b/src/planner/instance.ts
@@ -43,6 +43,8 @@
   readonly seeds: readonly string[]
   /** Upper limit for the leases of tasks. */
   readonly longestLease: Milliseconds
+  /** How many times as long a task takes on another rack than its data, or than the other tasks of its step. */
+  readonly remoteFactor: number
 }
 
 export interface FleetInstance {
@@ -121,7 +123,10 @@
     planner?.close()
     const created = createPlanner(
       term,
-      {leaseDuration: Math.min(LEASE_DURATION_MS, identity.longestLease)},
+      {
+        leaseDuration: Math.min(LEASE_DURATION_MS, identity.longestLease),
+        remoteFactor: identity.remoteFactor,
+      },
       {
         ...ports,
         store,
--- /dev/null
+++ b/src/planner/nearwaits.ts
@@ -0,0 +1,290 @@
+/**
+ * Steps that wait for a place where their tasks run faster: on the rack of their data, or all on one rack. A scheduling
+ * pass asks for each step that would otherwise start elsewhere whether a wait pays; `pipelines/waiting.ts` weighs it. A
+ * waiting step holds nothing: capacity near its data goes to whoever comes first in scheduling order, and the step itself
+ * starts elsewhere as soon as the wait no longer pays.
+ *
+ * The state lives in the leader's memory: run times learned from ends that it has seen, and which steps wait. A successor
+ * learns anew. Without learned run times no step waits, so that what a successor does not know costs at most the gain.
+ */
+import type {Clock, Milliseconds} from "../core/clock.js"
+import type {Logger} from "../core/logger.js"
+import type {Resources} from "../core/resources.js"
+import {add, dominantShare, NO_RESOURCES, scale} from "../core/resources.js"
+import type {PipelineJob} from "../pipelines/model.js"
+import {criticalPathLength, LATE_FACTOR, latencyObjective} from "../pipelines/order.js"
+import {createRunTimes} from "../pipelines/runtimes.js"
+import type {ExpectedRelease, WaitPrices, WaitVerdict} from "../pipelines/waiting.js"
+import {
+  boundWait,
+  costOfSlowerPlace,
+  expectOpenings,
+  expectRemaining,
+  LONGEST_WAIT_MS,
+  weighWait,
+} from "../pipelines/waiting.js"
+import {countTasksByWorker} from "./candidates.js"
+import type {OpenStep} from "./opensteps.js"
+import type {Assignment, StepRun, WorkerState} from "./state.js"
+import {requiredCapacity} from "./state.js"
+
+/** A rack on which the step runs faster, with the workers there that may run it. */
+export interface BetterRack {
+  readonly rack: string
+  readonly workers: readonly WorkerState[]
+}
+
+/** A step of which some tasks would now start in a slower place. */
+export interface SlowerStart {
+  readonly open: OpenStep
+  /** The number of tasks that have no place on a better rack now. */
+  readonly tasks: number
+  readonly racks: readonly BetterRack[]
+  readonly freeOn: (worker: WorkerState) => Resources
+}
+
+export interface NearWaits {
+  /** False where all places are equal: for a step that prefers none, or if other racks are not slower. */
+  readonly concerns: (run: StepRun) => boolean
+  /** Called whenever a pass comes to a step that prefers a rack: its wait counts from the first time. */
+  readonly recordTurn: (run: StepRun) => void
+  /** True if the tasks should wait. The answer holds for one pass. */
+  readonly decide: (start: SlowerStart) => boolean
+  /** True if the pass has decided that the step waits. */
+  readonly isWaiting: (run: StepRun) => boolean
+  /** How much of each worker of the rack is in demand from steps that wait for it; 1 stands for a whole worker. */
+  readonly pressureOn: (rack: string) => number
+  /** Called at the end of a pass. */
+  readonly endPass: () => void
+  /** Learns from a task that has ended well. */
+  readonly recordDone: (assignment: Assignment) => void
+  readonly counts: () => Readonly<Record<string, number>>
+}
+
+/** For a fleet in which all racks are equal. */
+export const NO_NEAR_WAITS: NearWaits = {
+  concerns: () => false,
+  recordTurn: () => undefined,
+  decide: () => false,
+  isWaiting: () => false,
+  pressureOn: () => 0,
+  endPass: () => undefined,
+  recordDone: () => undefined,
+  counts: () => ({}),
+}
+
+/** What is known of a step that prefers a rack. */
+interface Turn {
+  readonly openedAt: Milliseconds
+  /** When the wait began; undefined while the step does not wait. */
+  waitsSince: Milliseconds | undefined
+  /** The last pass that has decided that the step waits. */
+  waitsInPass: number
+  /** The step started elsewhere, or will. */
+  isDeclined: boolean
+}
+
+/** Steps that wait for a rack, in the order of a pass. */
+interface Claims {
+  demand: Resources
+  share: number
+}
+
+function runsApart(run: StepRun, worker: WorkerState): boolean {
+  const {step, assignments} = run
+  if (step.preferredRack !== "") return worker.listing.rack !== step.preferredRack
+  return step.sameRack && [...assignments].some(other => other.worker.listing.rack !== worker.listing.rack)
+}
+
+export function createNearWaits(
+  clock: Pick<Clock, "now">,
+  log: Pick<Logger, "info">,
+  remoteFactor: number,
+): NearWaits {
+  const runTimes = createRunTimes()
+  const turns = new Map<StepRun, Turn>()
+  let pass = 1
+  /** By rack, of the pass under way and of the last one. */
+  let claims = new Map<string, Claims>()
+  let lastClaims = new Map<string, Claims>()
+  /** When the tasks on a worker should end, computed once in a pass. */
+  const releases = new Map<WorkerState, readonly ExpectedRelease[]>()
+
+  function expectRunTime(job: PipelineJob, stepIndex: number): Milliseconds | undefined {
+    return runTimes.expect(job.queue.name, stepIndex, job.steps[stepIndex]?.estimate ?? 0)
+  }
+
+  function expectEnd(assignment: Assignment, worker: WorkerState): Milliseconds {
+    const {run, phase, confirmedAt, assignedAt, progressPercent, hasEarlierWork} = assignment
+    if (run.step.lasting || phase === "starting") return Infinity
+    const startedAt = confirmedAt ?? assignedAt
+    const near = expectRunTime(run.owner.job, run.stepIndex)
+    const expected = near === undefined ? undefined : near * (runsApart(run, worker) ? remoteFactor : 1)
+    if (hasEarlierWork) return expected === undefined ? Infinity : expected * (1 - progressPercent / 100)
+    return expectRemaining({
+      elapsed: clock.now() - startedAt,
+      progressPercent,
+      elapsedAtProgress: Math.max(0, (worker.clock?.localTime ?? startedAt) - startedAt),
+      expected,
+    })
+  }
+
+  function listReleases(worker: WorkerState): readonly ExpectedRelease[] {
+    let listed = releases.get(worker)
+    if (!listed) {
+      listed = [...worker.assignments.values()]
+        .map(assignment => ({
+          after: expectEnd(assignment, worker),
+          capacity: requiredCapacity(assignment.run.step),
+        }))
+        .filter(({after}) => after <= LONGEST_WAIT_MS)
+        .sort((one, other) => one.after - other.after)
+      releases.set(worker, listed)
+    }
+    return listed
+  }
+
+  /** The expected time until all of the tasks have room on one of the racks, after those that come first. */
+  function expectWait({open, tasks, racks, freeOn}: SlowerStart, horizon: Milliseconds): Milliseconds {
+    const {step} = open.run
+    const demand = requiredCapacity(step)
+    const held = countTasksByWorker(open.run)
+    let shortest = Infinity
+    for (const {rack, workers} of racks) {
+      const ahead = Math.ceil(dominantShare(claims.get(rack)?.demand ?? NO_RESOURCES, demand))
+      const places = workers.map(worker => ({
+        free: freeOn(worker),
+        limit: step.perWorker === 0 ? Infinity : step.perWorker - (held.get(worker) ?? 0),
+        releases: listReleases(worker),
+      }))
+      shortest = Math.min(shortest, expectOpenings(demand, ahead + tasks, places, horizon))
+    }
+    return shortest
+  }
+
+  /** The latency objective by learned run times, since that of the estimates may be off by a factor. */
+  function pricesOf({run, rank, queue}: OpenStep, turn: Turn): WaitPrices | undefined {
+    const {job} = run.owner
+    const runTime = expectRunTime(job, run.stepIndex)
+    if (runTime === undefined) return undefined
+    const learned = {
+      ...job,
+      steps: job.steps.map((step, index) => ({
+        ...step,
+        estimate: expectRunTime(job, index) ?? step.estimate,
+      })),
+    }
+    const objective = latencyObjective(learned, queue)
+    const now = clock.now()
+    return {
+      runTime,
+      remoteFactor,
+      timeToEnd: criticalPathLength(learned, run.stepIndex),
+      untilDue: rank.arrived + objective - now,
+      untilTooLate: rank.arrived + LATE_FACTOR * objective - now,
+      waited: now - turn.openedAt,
+    }
+  }
+
+  function claim({open, tasks, racks}: SlowerStart): void {
+    const demand = requiredCapacity(open.run.step)
+    for (const {rack, workers} of racks) {
+      const capacity = workers[0]?.listing.capacity
+      if (!capacity) continue
+      const claimed = claims.get(rack) ?? {demand: NO_RESOURCES, share: 0}
+      claimed.demand = add(claimed.demand, scale(demand, tasks))
+      claimed.share += (tasks * dominantShare(demand, capacity)) / workers.length
+      claims.set(rack, claimed)
+    }
+  }
+
+  function endWait(run: StepRun, turn: Turn, outcome: WaitVerdict | "near" | "left"): void {
+    if (turn.waitsSince === undefined) return
+    const took = Math.round(clock.now() - turn.waitsSince)
+    turn.waitsSince = undefined
+    log.info(
+      {event: "wait-ended", step: run.name, outcome, took, waiting: run.waiting.size},
+      outcome === "near"
+        ? "all tasks of a step that waited have started in a better place"
+        : "a step no longer waits for a better place",
+    )
+  }
+
+  function decide(start: SlowerStart): boolean {
+    const {open, tasks, racks} = start
+    const {run, queue} = open
+    const turn = turns.get(run)
+    if (!turn || turn.isDeclined) return false
+    const prices = pricesOf(open, turn)
+    const bound = prices && boundWait(prices).bound
+    const wait = bound === undefined ? Infinity : expectWait(start, bound)
+    const verdict = prices === undefined ? "unknown" : weighWait(wait, prices)
+    const inputs = {
+      step: run.name,
+      queue: queue.name,
+      rack: racks.length === 1 ? racks[0]?.rack : undefined,
+      tasks,
+      // Whatever lies beyond the bound is not computed.
+      expected: wait === Infinity ? undefined : Math.round(wait),
+      cost: prices && Math.round(costOfSlowerPlace(prices)),
+      bound: bound === undefined ? undefined : Math.round(bound),
+    }
+    if (verdict === "pays") {
+      claim(start)
+      turn.waitsInPass = pass
+      if (turn.waitsSince === undefined) {
+        turn.waitsSince = clock.now()
+        log.info({event: "wait-begun", ...inputs}, "a step waits for a place where its tasks run faster")
+      }
+      return true
+    }
+    turn.isDeclined = true
+    if (turn.waitsSince !== undefined && verdict !== "unknown") endWait(run, turn, verdict)
+    else
+      log.info(
+        {event: "wait-declined", ...inputs, outcome: verdict},
+        "tasks start in a slower place, since a wait for a better one does not pay",
+      )
+    return false
+  }
+
+  return {
+    concerns: ({step}) => remoteFactor > 1 && (step.preferredRack !== "" || step.sameRack),
+    recordTurn(run) {
+      if (!turns.has(run))
+        turns.set(run, {openedAt: clock.now(), waitsSince: undefined, waitsInPass: 0, isDeclined: false})
+    },
+    decide,
+    isWaiting: run => turns.get(run)?.waitsInPass === pass,
+    pressureOn: rack => Math.max(claims.get(rack)?.share ?? 0, lastClaims.get(rack)?.share ?? 0),
+    endPass() {
+      for (const [run, turn] of turns) {
+        const isOver = run.owner.progress.outcome !== undefined
+        if (!isOver && run.waiting.size > 0) continue
+        endWait(run, turn, isOver ? "left" : "near")
+        turns.delete(run)
+      }
+      pass += 1
+      lastClaims = claims
+      claims = new Map()
+      releases.clear()
+    },
+    recordDone(assignment) {
+      const {run, worker, confirmedAt, hasEarlierWork, phase} = assignment
+      const {step, stepIndex, owner} = run
+      if (confirmedAt === undefined || hasEarlierWork || phase === "stopping") return
+      if (step.lasting || step.fills) return
+      runTimes.record({
+        queue: owner.job.queue.name,
+        stepIndex,
+        tasks: step.count,
+        estimate: step.estimate,
+        duration: (clock.now() - confirmedAt) / (runsApart(run, worker) ? remoteFactor : 1),
+      })
+    },
+    counts: () => ({
+      waiting_for_rack: [...turns.values()].filter(({waitsSince}) => waitsSince !== undefined).length,
+      run_times: runTimes.size(),
+    }),
+  }
+}
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -28,6 +28,7 @@
 import {isUsable} from "./candidates.js"
 import {INITIAL_WORK_LIMIT, nextWorkLimit} from "./passbudget.js"
 import {pauseBeforePass} from "./passinterval.js"
+import {createNearWaits} from "./nearwaits.js"
 import {createPlanningPass} from "./planningpass.js"
 import {createStarter} from "./starting.js"
 import {createQueueServices} from "./queueservices.js"
@@ -54,6 +55,8 @@
 export interface PlannerLimits {
   /** How long the lease of a worker's tasks lasts from each renewal. */
   readonly leaseDuration: Milliseconds
+  /** How many times as long a task takes on another rack than its data, or than the other tasks of its step. */
+  readonly remoteFactor: number
 }
 
 export interface PlannerPorts {
@@ -156,7 +159,8 @@
     onSuperseded: handleSuperseded,
   })
   const leaderLoad = createLeaderLoad(clock, log, term)
-  const planningPass = createPlanningPass(clock)
+  const nearWaits = createNearWaits(clock, log, limits.remoteFactor)
+  const planningPass = createPlanningPass(clock, nearWaits)
   const followers = createFollowers(clock)
   const barrier = createBarrier({
     clock,
@@ -236,6 +240,7 @@
     onChange: schedulePass,
     workRead: () => workRead,
     onReported: barrier.remove,
+    onDone: nearWaits.recordDone,
     onFenced(worker) {
       log.info(
         {event: "worker-fenced", worker: worker.listing.id, term},
@@ -623,6 +628,7 @@
       relays: relays.countRelays(),
       passes,
       commits: ledger.commitCount(),
+      ...nearWaits.counts(),
       ...leaderLoad.gauges(),
     }),
     close,
--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -8,9 +8,11 @@
 import type {AdviceCandidate} from "../pipelines/adviceselection.js"
 import type {Queue} from "../pipelines/model.js"
 import {placeTasks} from "../pipelines/placing.js"
+import type {WorkerOption} from "../pipelines/placing.js"
 import {freeOutsideReservation} from "../pipelines/reserving.js"
 import {
   countTasksByWorker,
+  findAllowedWorkers,
   freeCapacityOf,
   hasRoomFor,
   hasTicket,
@@ -18,6 +20,8 @@
   needsAnswer,
   toWorkerOption,
 } from "./candidates.js"
+import {NO_NEAR_WAITS} from "./nearwaits.js"
+import type {BetterRack, NearWaits} from "./nearwaits.js"
 import {listUpcomingSteps, listOpenSteps} from "./opensteps.js"
 import type {OpenStep, PassView} from "./opensteps.js"
 import {preempt} from "./preemption.js"
@@ -53,15 +57,64 @@
   readonly index: WorkerIndex
   readonly reserved: ReservedCapacity
   readonly budget: WorkBudget
+  readonly waits: NearWaits
   /** Searches for tasks to preempt, by queue. */
   readonly searches: Map<string, number>
 }
 
+/** The racks on which the step would run faster, with their workers on which it is known to be allowed. */
+function listBetterRacks(open: OpenStep, {workers}: WorkerGroup): readonly BetterRack[] {
+  const {step} = open.run
+  const byRack = new Map<string, WorkerState[]>()
+  if (step.preferredRack !== "") byRack.set(step.preferredRack, [])
+  for (const worker of findAllowedWorkers(open, workers)) {
+    const {rack} = worker.listing
+    const listed = byRack.get(rack)
+    if (listed) listed.push(worker)
+    else if (step.preferredRack === "") byRack.set(rack, [worker])
+  }
+  return [...byRack].map(([rack, listed]) => ({rack, workers: listed}))
+}
+
+/**
+ * Chooses workers for the tasks. Where some would start on a slower rack and a wait for a better one pays, only those are
+ * placed now that find room there.
+ */
+function placeOrWait(
+  open: OpenStep,
+  wanted: number,
+  options: readonly WorkerOption[],
+  group: WorkerGroup,
+  toOption: (worker: WorkerState) => WorkerOption,
+  {waits, budget}: PassState,
+): readonly string[] {
+  const {step} = open.run
+  const chosen = placeTasks(step, wanted, options)
+  if (chosen.length === 0 || !waits.concerns(open.run)) return chosen
+  const rackOf = new Map(options.map(({id, rack}) => [id, rack]))
+  const racks = new Set(chosen.map(id => rackOf.get(id)))
+  const isBest =
+    step.preferredRack === "" ? racks.size === 1 : [...racks].every(rack => rack === step.preferredRack)
+  if (isBest) return chosen
+  const near = options.filter(({rack}) => step.preferredRack === rack)
+  const startsNear = placeTasks(step, wanted, near)
+  const better = listBetterRacks(open, group)
+  budget.spend(better.reduce((sum, {workers}) => sum + workers.length * PLACING_WORK, 0))
+  const start = {
+    open,
+    tasks: step.gang || step.sameRack ? wanted : open.run.waiting.size - startsNear.length,
+    racks: better,
+    freeOn: (worker: WorkerState) => toOption(worker).free,
+  }
+  return waits.decide(start) ? startsNear : chosen
+}
+
 /** Starts those tasks of a step that can be placed now. */
 function placeStep(open: OpenStep, group: WorkerGroup, state: PassState): void {
-  const {view, actions, index, reserved, budget} = state
+  const {view, actions, index, reserved, budget, waits} = state
   const {run, queue} = open
   const {step} = run
+  if (waits.concerns(run)) waits.recordTurn(run)
   if (needsAnswer(run, queue, view.now)) return
   const required = requiredCapacity(step)
   const allowedStarts = limitStarts(open, reserved)
@@ -76,22 +129,27 @@
   budget.spend(ready.length * PLACING_WORK)
   const affordableStarts = Math.max(1, Math.floor(budget.left() / (START_WORK + ready.length / 8)))
   const held = countTasksByWorker(run)
-  const options = ready.map(worker => {
+  function toOption(worker: WorkerState): WorkerOption {
     const option = toWorkerOption(
       worker,
       held.get(worker) ?? 0,
       index.occupancyOf(worker),
       reserved.contention,
     )
+    const {rack} = option
+    const pressure = step.preferredRack === rack ? 0 : waits.pressureOn(rack)
+    const contention = option.contention + pressure
     return withholds
-      ? {...option, free: freeOutsideReservation(option, reserved.reservations.get(option.id))}
-      : option
-  })
-  const chosen = placeTasks(
-    step,
-    step.gang ? allowedStarts : Math.min(allowedStarts, affordableStarts),
-    options,
-  )
+      ? {
+          ...option,
+          contention,
+          free: freeOutsideReservation(option, reserved.reservations.get(option.id)),
+        }
+      : {...option, contention}
+  }
+  const options = ready.map(toOption)
+  const wanted = step.gang ? allowedStarts : Math.min(allowedStarts, affordableStarts)
+  const chosen = placeOrWait(open, wanted, options, group, toOption, state)
   if (chosen.length === 0) {
     if (withholds && !queue.advice && !step.gang && step.perWorker === 0)
       group.unmetOutsideReservations.add(required)
@@ -113,7 +171,7 @@
   open: OpenStep,
   group: WorkerGroup,
   mayRequestEarly: boolean,
-  {view, actions, reserved, budget}: PassState,
+  {view, actions, reserved, budget, waits}: PassState,
 ): void {
   const {run, queue} = open
   const {step} = run
@@ -122,14 +180,19 @@
   if (!mayRequestEarly && step.gang && limitStarts(open, reserved) < run.waiting.size) return
   budget.spend(group.workers.length * PLACING_WORK)
   const held = countTasksByWorker(run)
+  const isNear = ({listing}: WorkerState): boolean =>
+    waits.concerns(run) && listing.rack === step.preferredRack
   const candidates = group.workers
     .filter(worker => run.policyVerdicts.get(worker.listing.id) !== false)
+    // A step that waits for its rack has no use for further tickets elsewhere.
+    .filter(worker => step.preferredRack === "" || !waits.isWaiting(run) || isNear(worker))
     .map(worker => ({
       id: worker.listing.id,
       free: freeCapacityOf(worker),
       held: held.get(worker) ?? 0,
       allowed: run.policyVerdicts.get(worker.listing.id) === true,
       hasTicket: hasTicket(run, worker, view.now),
+      isNear: isNear(worker),
     }))
   if (!mayRequestEarly && step.gang && !canStartTogether(step, run.waiting.size, candidates)) return
   const options: AdviceCandidate[] = candidates.filter(candidate => !candidate.hasTicket)
@@ -161,7 +224,10 @@
  * Creates a pass that can be run repeatedly. It remembers between runs the peak load of urgent work, and the steps that
  * were left for a later run.
  */
-export function createPlanningPass(clock: Pick<Clock, "now">): PlanningPass {
+export function createPlanningPass(
+  clock: Pick<Clock, "now">,
+  waits: NearWaits = NO_NEAR_WAITS,
+): PlanningPass {
   const reserver = createCapacityReserver()
   const turns = createStepTurns()
 
@@ -172,7 +238,7 @@
       const steps = listOpenSteps(view)
       const budget = createWorkBudget(view.workLimit)
       const reserved = reserver.compute(view, pool, steps, index, budget)
-      const state: PassState = {view, actions, index, reserved, budget, searches: new Map()}
+      const state: PassState = {view, actions, index, reserved, budget, waits, searches: new Map()}
       const waitingByService = new Map<string, number>()
       const preparation = budget.spent()
       let workDuration: Milliseconds = 0
@@ -184,7 +250,7 @@
         const group = index.findGroup(run, queue.service)
         placeStep(open, group, state)
         if (run.waiting.size === 0) return
-        if (isUrgent) {
+        if (isUrgent && !waits.isWaiting(run)) {
           reserveForStep(open, group.workers, view.now, reserved, index, budget)
           preempt(open, group.workers, view, reserved, index, budget, state.searches, actions.preempt)
         }
@@ -211,6 +277,7 @@
           if (open.run.isAwaitingAdvice) idleRequesters -= 1
         }
       }
+      waits.endPass()
       return {openSteps: steps.length, preparation, work, workDuration, isComplete}
     },
   }
--- a/src/planner/reports.ts
+++ b/src/planner/reports.ts
@@ -40,6 +40,8 @@
   readonly onChange: () => void
   /** The latest read of the stored jobs whose answer has come. */
   readonly workRead: () => WorkRead
+  /** Called when a run that is assigned here has ended well. */
+  readonly onDone: (assignment: Assignment) => void
   /** Called when a worker has answered for the first time in this term. */
   readonly onFenced: (worker: WorkerState) => void
   /** Called when a worker has for the first time listed all that it ran for earlier leaders. */
@@ -167,6 +169,7 @@
       "a run of a task has ended",
     )
     updateFailureRate(worker, ended)
+    if (ended.end === "done" && assignment) context.onDone(assignment)
     if (ended.checkpoint !== "") run.checkpoints.set(run.step.gang ? 0 : name.index, ended.checkpoint)
     const counter = run.step.gang ? 0 : name.index
     run.latestAttempts.set(counter, Math.max(ended.attempt, run.latestAttempts.get(counter) ?? 0))
@@ -204,6 +207,7 @@
       const assignment = assign(run, name.index, running.attempt, worker, clock.now())
       assignment.phase = "running"
       assignment.confirmedAt = clock.now()
+      assignment.hasEarlierWork = true
       // The speed that the earlier leader allowed is not known.
       if (run.step.fills) assignment.speedPercent = 0
       run.owner.hasStarted = true
--- a/src/planner/starting.ts
+++ b/src/planner/starting.ts
@@ -102,6 +102,7 @@
     const {job} = run.owner
     const ticket = run.tickets.get(id)?.ticket ?? ""
     const checkpoint = run.checkpoints.get(run.step.gang ? 0 : index) ?? ""
+    assignment.hasEarlierWork = checkpoint !== ""
     startCount += 1
     log.info(
       {event: "start", task: assignment.task, attempt, worker: id, queue: job.queue.name},
--- a/src/planner/state.ts
+++ b/src/planner/state.ts
@@ -90,6 +90,8 @@
   gauge: number
   /** As last reported: how much of the task is done. */
   progressPercent: number
+  /** Part of the work was done before `assignedAt`: the run was taken over, or has resumed from a checkpoint. */
+  hasEarlierWork: boolean
 }
 
 /** A reading of a worker's clock, with the time at which it was received on this leader's clock. */
@@ -295,6 +297,7 @@
     speedPercent: 100,
     gauge: 0,
     progressPercent: 0,
+    hasEarlierWork: false,
   }
   run.waiting.delete(index)
   run.assignments.add(assignment)
--- a/test/fleet/reports.test.ts
+++ b/test/fleet/reports.test.ts
@@ -51,6 +51,7 @@
     linkOf: () => undefined,
     onChange: () => undefined,
     workRead: () => ({sentAt: readSentAt ?? clock.now(), answeredAt: clock.now()}),
+    onDone: () => undefined,
     onFenced: () => undefined,
     onReported: () => undefined,
   })
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -111,6 +111,8 @@
   /** How long the advice service takes for a call that names this many workers; by default 30 ms. */
   readonly adviceTime?: (workers: number) => Milliseconds
   readonly seed?: number
+  /** How many times as long a task takes on another rack than its data; 1 by default. */
+  readonly remoteFactor?: number
   /** The processors that each instance may use, by name; 1 by default. */
   readonly processors?: Readonly<Record<string, number>>
 }
@@ -274,6 +276,7 @@
         incarnation: `life-${incarnations}`,
         seeds: names.map(addressOf),
         longestLease: 10_000,
+        remoteFactor: options.remoteFactor ?? 1,
       },
       {
         clock,
