--- a/src/pipelines/waiting.ts
+++ b/src/pipelines/waiting.ts
@@ -5,6 +5,10 @@
  * for nothing. The step waits while the expected time until its last task has such a place is shorter than what the
  * slower place costs, and only as long as the latency objective allows.
  *
+ * A wait also costs those who come later: each that waits makes the queue longer for them. If less work comes for the rack
+ * than it can do, the queue soon ends; if more comes, it lasts, and all wait without the rack doing any more. So what a
+ * wait costs is that of the step itself times the crowding (Naor, The regulation of queue size by levying tolls, 1969).
+ *
  * A wait is decided anew at each scheduling pass and forgets what was waited so far, as that is spent either way. What
  * bounds a series of disappointed waits is the total: no step waits longer than the slower place would have cost, so
  * that the worst case takes twice as long as starting at once.
@@ -87,16 +91,20 @@
   return runTime * (remoteFactor - 1)
 }
 
+/** What is left for the wait of the time to an objective that the slower place would meet too; the rest is for surprises. */
+const SPENDABLE_SHARE = 0.5
+
 /**
- * How long the step may still wait for the sake of its latency objective. Where a start in the slower place would meet the
- * objective, the wait must not put that at risk; else it ends when the better place would no longer meet it. A job
- * that is late has the time until which a completion counts as its objective.
+ * How long the step may still wait for the sake of its latency objective: until the better place would no longer meet it.
+ * Where the slower place would meet it at once, only a part of that is risked, or what does no harm. A job that is late
+ * has the time until which a completion counts as its objective.
  */
 function boundByObjective(prices: WaitPrices): Milliseconds {
   const slowerEnd = prices.timeToEnd + costOfSlowerPlace(prices)
   for (const objective of [prices.untilDue, prices.untilTooLate]) {
-    if (objective > slowerEnd) return objective - slowerEnd
-    if (objective > prices.timeToEnd) return objective - prices.timeToEnd
+    const spare = objective - prices.timeToEnd
+    if (objective > slowerEnd) return Math.max(objective - slowerEnd, spare * SPENDABLE_SHARE)
+    if (spare > 0) return spare
   }
   return 0
 }
@@ -113,15 +121,48 @@
     : {bound: Math.max(0, byLimit), by: "limit"}
 }
 
+/** The load of the better place. */
+export interface Crowd {
+  /** The position of the step among those that wait for the place, from 1. */
+  readonly position: number
+  /** The work that comes for the place, as a share of what it can do. */
+  readonly load: number
+}
+
+/** While half as much work again comes as the place can do, a queue for it lasts. */
+const LASTING_LOAD = 1.5
+/** Later positions are no worse, and the powers of the load stay finite. */
+const LAST_POSITION = 64
+
+/**
+ * How many times its own wait a waiting step costs all together. A queue of some length is worth joining for all while
+ * the sum of (1 + load + ... + load^(k-1)) for each position k up to its end is less than what the slower place costs, in
+ * units of the time from one opening to the next. A queue that lasts is worth it for nobody: all wait, and the place does
+ * no more work than without it.
+ */
+export function crowdingOf({position, load}: Crowd): number {
+  if (load > LASTING_LOAD) return Infinity
+  const last = Math.min(LAST_POSITION, Math.max(1, position))
+  let term = 0
+  let sum = 0
+  for (let at = 1; at <= last; at += 1) {
+    term = term * load + 1
+    sum += term
+  }
+  return sum / last
+}
+
 /** Why a step waits, or why it does not. */
-export type WaitVerdict = "pays" | "no-prospect" | "too-long" | "objective" | "limit"
+export type WaitVerdict = "pays" | "no-prospect" | "too-long" | "crowded" | "objective" | "limit"
 
 /** Weighs the expected wait for the better place against what the slower one costs. */
-export function weighWait(wait: Milliseconds, prices: WaitPrices): WaitVerdict {
+export function weighWait(wait: Milliseconds, prices: WaitPrices, crowd: Crowd): WaitVerdict {
   const {bound, by} = boundWait(prices)
   if (bound <= 0) return by
   if (wait === Infinity) return "no-prospect"
   if (wait >= costOfSlowerPlace(prices)) return "too-long"
+  // A place that is free now costs nobody a wait.
+  if (wait > 0 && wait * crowdingOf(crowd) >= costOfSlowerPlace(prices)) return "crowded"
   return wait > bound ? by : "pays"
 }
 
--- a/src/planner/nearwaits.ts
+++ b/src/planner/nearwaits.ts
@@ -13,8 +13,9 @@
 import {add, dominantShare, NO_RESOURCES, scale} from "../core/resources.js"
 import type {PipelineJob} from "../pipelines/model.js"
 import {criticalPathLength, LATE_FACTOR, latencyObjective} from "../pipelines/order.js"
+import {createRackDemand} from "../pipelines/rackdemand.js"
 import {createRunTimes} from "../pipelines/runtimes.js"
-import type {ExpectedRelease, WaitPrices, WaitVerdict} from "../pipelines/waiting.js"
+import type {Crowd, ExpectedRelease, WaitPrices, WaitVerdict} from "../pipelines/waiting.js"
 import {
   boundWait,
   costOfSlowerPlace,
@@ -46,8 +47,9 @@
 export interface NearWaits {
   /** False where all places are equal: for a step that prefers none, or if other racks are not slower. */
   readonly concerns: (run: StepRun) => boolean
-  /** Called whenever a pass comes to a step that prefers a rack: its wait counts from the first time. */
-  readonly recordTurn: (run: StepRun) => void
+  /** Called whenever a pass comes to a step that prefers a rack: its wait counts from the first time. The capacity is that of
+   * a usual worker. */
+  readonly recordTurn: (run: StepRun, capacity: Resources) => void
   /** True if the tasks should wait. The answer holds for one pass. */
   readonly decide: (start: SlowerStart) => boolean
   /** True if the pass has decided that the step waits. */
@@ -84,8 +86,15 @@
   isDeclined: boolean
 }
 
+interface ExpectedWait {
+  readonly wait: Milliseconds
+  readonly crowd: Crowd
+}
+
 /** Steps that wait for a rack, in the order of a pass. */
 interface Claims {
+  /** Number of steps. */
+  steps: number
   demand: Resources
   share: number
 }
@@ -102,6 +111,7 @@
   remoteFactor: number,
 ): NearWaits {
   const runTimes = createRunTimes()
+  const rackDemand = createRackDemand()
   const turns = new Map<StepRun, Turn>()
   let pass = 1
   /** By rack, of the pass under way and of the last one. */
@@ -144,12 +154,20 @@
     return listed
   }
 
+  /** Work comes for a rack that holds the data of a step, but for no certain one if the tasks only have to be together. */
+  function crowdOf(rack: string, workers: number): Crowd {
+    return {
+      position: (claims.get(rack)?.steps ?? 0) + 1,
+      load: workers === 0 ? 0 : rackDemand.rate(rack, clock.now()) / workers,
+    }
+  }
+
   /** The expected time until all of the tasks have room on one of the racks, after those that come first. */
-  function expectWait({open, tasks, racks, freeOn}: SlowerStart, horizon: Milliseconds): Milliseconds {
+  function expectWait({open, tasks, racks, freeOn}: SlowerStart, horizon: Milliseconds): ExpectedWait {
     const {step} = open.run
     const demand = requiredCapacity(step)
     const held = countTasksByWorker(open.run)
-    let shortest = Infinity
+    let shortest: ExpectedWait = {wait: Infinity, crowd: {position: 1, load: 0}}
     for (const {rack, workers} of racks) {
       const ahead = Math.ceil(dominantShare(claims.get(rack)?.demand ?? NO_RESOURCES, demand))
       const places = workers.map(worker => ({
@@ -157,7 +175,8 @@
         limit: step.perWorker === 0 ? Infinity : step.perWorker - (held.get(worker) ?? 0),
         releases: listReleases(worker),
       }))
-      shortest = Math.min(shortest, expectOpenings(demand, ahead + tasks, places, horizon))
+      const wait = expectOpenings(demand, ahead + tasks, places, horizon)
+      if (wait < shortest.wait) shortest = {wait, crowd: crowdOf(rack, workers.length)}
     }
     return shortest
   }
@@ -191,7 +210,8 @@
     for (const {rack, workers} of racks) {
       const capacity = workers[0]?.listing.capacity
       if (!capacity) continue
-      const claimed = claims.get(rack) ?? {demand: NO_RESOURCES, share: 0}
+      const claimed = claims.get(rack) ?? {steps: 0, demand: NO_RESOURCES, share: 0}
+      claimed.steps += 1
       claimed.demand = add(claimed.demand, scale(demand, tasks))
       claimed.share += (tasks * dominantShare(demand, capacity)) / workers.length
       claims.set(rack, claimed)
@@ -217,17 +237,20 @@
     if (!turn || turn.isDeclined) return false
     const prices = pricesOf(open, turn)
     const bound = prices && boundWait(prices).bound
-    const wait = bound === undefined ? Infinity : expectWait(start, bound)
-    const verdict = prices === undefined ? "unknown" : weighWait(wait, prices)
+    const horizon = prices ? Math.min(LONGEST_WAIT_MS, costOfSlowerPlace(prices)) : 0
+    const {wait, crowd} = expectWait(start, horizon)
+    const verdict = prices === undefined ? "unknown" : weighWait(wait, prices, crowd)
     const inputs = {
       step: run.name,
       queue: queue.name,
       rack: racks.length === 1 ? racks[0]?.rack : undefined,
       tasks,
-      // Whatever lies beyond the bound is not computed.
+      // Undefined if it takes longer than the slower place costs.
       expected: wait === Infinity ? undefined : Math.round(wait),
       cost: prices && Math.round(costOfSlowerPlace(prices)),
       bound: bound === undefined ? undefined : Math.round(bound),
+      ...crowd,
+      load: Math.round(crowd.load * 100) / 100,
     }
     if (verdict === "pays") {
       claim(start)
@@ -250,9 +273,13 @@
 
   return {
     concerns: ({step}) => remoteFactor > 1 && (step.preferredRack !== "" || step.sameRack),
-    recordTurn(run) {
-      if (!turns.has(run))
-        turns.set(run, {openedAt: clock.now(), waitsSince: undefined, waitsInPass: 0, isDeclined: false})
+    recordTurn(run, capacity) {
+      if (turns.has(run)) return
+      const {step, owner, stepIndex, waiting} = run
+      const runTime = expectRunTime(owner.job, stepIndex) ?? step.estimate
+      const work = waiting.size * dominantShare(requiredCapacity(step), capacity) * runTime
+      if (step.preferredRack !== "") rackDemand.add(step.preferredRack, work, clock.now())
+      turns.set(run, {openedAt: clock.now(), waitsSince: undefined, waitsInPass: 0, isDeclined: false})
     },
     decide,
     isWaiting: run => turns.get(run)?.waitsInPass === pass,
--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -114,7 +114,8 @@
   const {view, actions, index, reserved, budget, waits} = state
   const {run, queue} = open
   const {step} = run
-  if (waits.concerns(run)) waits.recordTurn(run)
+  const [usual] = group.workers
+  if (usual && waits.concerns(run)) waits.recordTurn(run, usual.listing.capacity)
   if (needsAnswer(run, queue, view.now)) return
   const required = requiredCapacity(step)
   const allowedStarts = limitStarts(open, reserved)
