--- a/test/support/fakeworkers.ts
+++ b/test/support/fakeworkers.ts
@@ -31,6 +31,8 @@
   readonly failures?: number
   /** Size of the gang. Its tasks make progress only while all of them run. */
   readonly gang?: number
+  /** The rack on which the task takes its duration; on others it takes the factor as long. */
+  readonly near?: {readonly rack: string; readonly remoteFactor: number}
 }
 
 interface Run {
@@ -193,7 +195,9 @@
     const run = {task: order.task, attempt: order.attempt, plan, startedAt: clock.now(), endsAt: Infinity}
     worker.runs.set(order.task, run)
     startCounts.set(order.task, (startCounts.get(order.task) ?? 0) + 1)
-    if (plan.gang === undefined) run.endsAt = clock.now() + plan.duration
+    const {near} = plan
+    const factor = near && worker.listing.rack !== near.rack ? near.remoteFactor : 1
+    if (plan.gang === undefined) run.endsAt = clock.now() + plan.duration * factor
     else startGangIfComplete(run)
     return {type: "started"}
   }
--- a/test/unit/waiting.test.ts
+++ b/test/unit/waiting.test.ts
@@ -2,6 +2,7 @@
 import test from "ava"
 import type {Milliseconds} from "../../src/core/clock.js"
 import {exponential, seededRandom} from "../../src/core/random.js"
+import {chooseWorkersForAdvice} from "../../src/pipelines/adviceselection.js"
 import {createRunTimes} from "../../src/pipelines/runtimes.js"
 import type {BetterPlace, WaitPrices} from "../../src/pipelines/waiting.js"
 import {
@@ -13,7 +14,7 @@
   weighWait,
 } from "../../src/pipelines/waiting.js"
 import type {Step} from "../../src/pipelines/model.js"
-import {QUEUE} from "../support/fleet.js"
+import {QUEUE, STEP} from "../support/fleet.js"
 import type {PassPlay, Played, PlayedJob} from "../support/passplay.js"
 import {playPasses} from "../support/passplay.js"
 
@@ -359,3 +360,24 @@
   )
   t.is(played.times.at(-5), 450)
 })
+
+test("a call for advice names near workers, and leaves room for others that are free", t => {
+  const candidate = (id: string, processors: number, isNear: boolean) => ({
+    id,
+    free: {...TASK, processors},
+    held: 0,
+    allowed: false,
+    isNear,
+  })
+  const candidates = [
+    ...Array.from({length: 20}, (_, index) => candidate(`far-${index}`, 8, false)),
+    ...Array.from({length: 10}, (_, index) => candidate(`near-${index}`, index === 0 ? 8 : 0, true)),
+  ]
+  // A call names ten workers.
+  const terms = {base: 100, perWorker: 6, ticketLife: 2000}
+  const named = chooseWorkersForAdvice({...STEP, demand: TASK}, candidates, terms, false)
+  t.is(named.length, 10)
+  t.is(named[0], "near-0", "a near worker with room comes first")
+  t.is(named.filter(id => id.startsWith("far-")).length, 4)
+  t.is(named.filter(id => id.startsWith("near-")).length, 6)
+})
