--- a/test/guards/guards.ts
+++ b/test/guards/guards.ts
@@ -1006,4 +1006,28 @@
     test: "fleet/workerentries.test.js",
     match: "a worker that takes orders of another system*",
   },
+  {
+    name: "the wait for a rack is limited in total, whatever is expected",
+    file: "pipelines/waiting.js",
+    find: "costOfSlowerPlace(prices)) - prices.waited;",
+    replace: "costOfSlowerPlace(prices));",
+    test: "fleet/waiting.test.js",
+    match: "a task that waits for a rack which stays full*",
+  },
+  {
+    name: "nobody waits for a rack for which more work comes than it can do",
+    file: "pipelines/waiting.js",
+    find: "if (wait > 0 && wait * crowdingOf(crowd)",
+    replace: "if (wait > 0 && wait",
+    test: "unit/waiting.test.js",
+    match: "where more comes for the rack*",
+  },
+  {
+    name: "a new leader lets no step wait before it knows run times",
+    file: "planner/nearwaits.js",
+    find: "expectRunTime(job, run.stepIndex);\n        if (runTime === undefined)\n            return undefined;",
+    replace: "expectRunTime(job, run.stepIndex) ?? run.step.estimate;",
+    test: "unit/waiting.test.js",
+    match: "a leader that has just taken over*",
+  },
 ]
