Room that a part of a step's tasks takes now is not expected for the others

Change: all tasks that may start are counted against the rack's room. Measured: the new test fails with the former count.

--- a/src/planner/nearwaits.ts
+++ b/src/planner/nearwaits.ts
@@ -38,8 +38,10 @@
 /** A step of which some tasks would now start in a slower place. */
 export interface SlowerStart {
   readonly open: OpenStep
-  /** The number of tasks that have no place on a better rack now. */
+  /** The number of tasks that may start. */
   readonly tasks: number
+  /** How many of them have a place on a better rack now. */
+  readonly startingNow: number
   readonly racks: readonly BetterRack[]
   readonly freeOn: (worker: WorkerState) => Resources
 }
@@ -205,15 +207,16 @@
     }
   }
 
-  function claim({open, tasks, racks}: SlowerStart): void {
+  function claim({open, tasks, startingNow, racks}: SlowerStart): void {
     const demand = requiredCapacity(open.run.step)
+    const waiting = tasks - startingNow
     for (const {rack, workers} of racks) {
       const capacity = workers[0]?.listing.capacity
       if (!capacity) continue
       const claimed = claims.get(rack) ?? {steps: 0, demand: NO_RESOURCES, share: 0}
       claimed.steps += 1
-      claimed.demand = add(claimed.demand, scale(demand, tasks))
-      claimed.share += (tasks * dominantShare(demand, capacity)) / workers.length
+      claimed.demand = add(claimed.demand, scale(demand, waiting))
+      claimed.share += (waiting * dominantShare(demand, capacity)) / workers.length
       claims.set(rack, claimed)
     }
   }
@@ -245,6 +248,7 @@
       queue: queue.name,
       rack: racks.length === 1 ? racks[0]?.rack : undefined,
       tasks,
+      startingNow: start.startingNow,
       // Undefined if it takes longer than the slower place costs.
       expected: wait === Infinity ? undefined : Math.round(wait),
       cost: prices && Math.round(costOfSlowerPlace(prices)),
--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -102,7 +102,8 @@
   budget.spend(better.reduce((sum, {workers}) => sum + workers.length * PLACING_WORK, 0))
   const start = {
     open,
-    tasks: step.gang || step.sameRack ? wanted : open.run.waiting.size - startsNear.length,
+    tasks: wanted,
+    startingNow: startsNear.length,
     racks: better,
     freeOn: (worker: WorkerState) => toOption(worker).free,
   }
--- a/test/unit/waiting.test.ts
+++ b/test/unit/waiting.test.ts
@@ -271,6 +271,16 @@
   t.is(declined.startDelays.at(-1), 0)
 })
 
+test("places that a part of the tasks takes now are not expected for the others", t => {
+  const queue = {...CHECKS, name: "long"}
+  const [filler] = fillRack(4000, {count: 2})
+  const jobs = [...lessons(300), ...lessons(4000).map(job => ({...job, queue})), {...filler, queue}]
+  const wanting = jobAt(LAST.at, 300, {count: 4})
+  const played = playPasses({...ONE_RACK, waits: true, jobs: [...jobs, wanting] as readonly PlayedJob[]})
+  t.is(eventsOf(played).at(-1), "wait-declined: no-prospect")
+  t.is(played.startDelays.at(-1), 0)
+})
+
 test("a step stops waiting when the estimate worsens, and no wait is longer than its bound", t => {
   // What fills the rack runs seven times as long as usual, and reports no progress.
   const jobs = [...lessons(300), ...fillRack(2100, {estimate: 300}), jobAt(LAST.at, 300)]
