Speeds of workers are learned from tasks of one step

Cause: WorkerOption.speed was always 1, while workers differ by a factor of two, and a step ends with its slowest task. Change: ends of one step's tasks are compared with each other; placement and calls for advice prefer fast workers. Long-running tasks take no part.

--- a/src/pipelines/adviceselection.ts
+++ b/src/pipelines/adviceselection.ts
@@ -22,6 +22,8 @@
   readonly allowed: boolean
   /** The tasks run faster on the worker than on others. */
   readonly isNear?: boolean
+  /** Speed relative to a typical worker, which has 1. */
+  readonly speed?: number
 }
 
 /** Limit of the advice service on the workers in one call. */
@@ -88,7 +90,8 @@
     (one, other) =>
       Number(other.isFree) - Number(one.isFree) ||
       Number(other.candidate.isNear ?? false) - Number(one.candidate.isNear ?? false) ||
-      Number(other.candidate.allowed) - Number(one.candidate.allowed),
+      Number(other.candidate.allowed) - Number(one.candidate.allowed) ||
+      (other.candidate.speed ?? 1) - (one.candidate.speed ?? 1),
   )
   const limit = workerLimit(terms)
   const named = rated.slice(0, limit)
--- a/src/pipelines/placing.ts
+++ b/src/pipelines/placing.ts
@@ -61,6 +61,8 @@
       : 0
   // Best-effort tasks on one worker share its unused processors, so they are spread rather than packed.
   const crowding = step.fills ? option.bestEffortTasks + candidate.placed : 0
+  // Long-running tasks have no end that a fast worker brings nearer.
+  const speed = step.lasting || step.fills ? 1 : option.speed
   return (
     (step.fills ? -left : left) +
     remoteData +
@@ -68,7 +70,7 @@
     crowding +
     option.failureShare * FAILURE_PENALTY +
     Math.min(MAX_CONTENTION, option.contention) * CONTENTION_WEIGHT -
-    option.speed * SPEED_WEIGHT
+    speed * SPEED_WEIGHT
   )
 }
 
--- a/src/planner/candidates.ts
+++ b/src/planner/candidates.ts
@@ -5,6 +5,7 @@
 import type {Contention} from "../pipelines/contention.js"
 import type {Queue} from "../pipelines/model.js"
 import type {WorkerOption} from "../pipelines/placing.js"
+import {relativeSpeed} from "../pipelines/workerspeeds.js"
 import type {OpenStep} from "./opensteps.js"
 import type {Occupancy} from "./workerindex.js"
 import type {AdviceTicket, StepRun, WorkerState} from "./state.js"
@@ -60,7 +61,7 @@
     bestEffortTasks: occupancy.bestEffortTasks,
     failureShare: ends > 0 ? worker.failureWeight / (ends + 1) : 0,
     contention: contention.get(worker.listing.id) ?? 0,
-    speed: 1,
+    speed: relativeSpeed(worker.speed),
   }
 }
 
--- a/src/planner/nearwaits.ts
+++ b/src/planner/nearwaits.ts
@@ -4,17 +4,14 @@
  * waiting step holds nothing: capacity near its data goes to whoever comes first in scheduling order, and the step itself
  * starts elsewhere as soon as the wait no longer pays.
  *
- * The state lives in the leader's memory: run times learned from ends that it has seen, and which steps wait. A successor
- * learns anew. Without learned run times no step waits, so that what a successor does not know costs at most the gain.
+ * Which steps wait is in the leader's memory. Without learned run times no step waits, so that what a successor does not know costs at most the gain.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
 import type {Resources} from "../core/resources.js"
 import {add, dominantShare, NO_RESOURCES, scale} from "../core/resources.js"
-import type {PipelineJob} from "../pipelines/model.js"
 import {criticalPathLength, LATE_FACTOR, latencyObjective} from "../pipelines/order.js"
 import {createRackDemand} from "../pipelines/rackdemand.js"
-import {createRunTimes} from "../pipelines/runtimes.js"
 import type {Crowd, ExpectedRelease, WaitPrices, WaitVerdict} from "../pipelines/waiting.js"
 import {
   boundWait,
@@ -25,6 +22,7 @@
   weighWait,
 } from "../pipelines/waiting.js"
 import {countTasksByWorker} from "./candidates.js"
+import type {LearnedRuns} from "./learnedruns.js"
 import type {OpenStep} from "./opensteps.js"
 import type {Assignment, StepRun, WorkerState} from "./state.js"
 import {requiredCapacity} from "./state.js"
@@ -60,8 +58,6 @@
   readonly pressureOn: (rack: string) => number
   /** Called at the end of a pass. */
   readonly endPass: () => void
-  /** Learns from a task that has ended well. */
-  readonly recordDone: (assignment: Assignment) => void
   readonly counts: () => Readonly<Record<string, number>>
 }
 
@@ -73,7 +69,6 @@
   isWaiting: () => false,
   pressureOn: () => 0,
   endPass: () => undefined,
-  recordDone: () => undefined,
   counts: () => ({}),
 }
 
@@ -101,18 +96,12 @@
   share: number
 }
 
-function runsApart(run: StepRun, worker: WorkerState): boolean {
-  const {step, assignments} = run
-  if (step.preferredRack !== "") return worker.listing.rack !== step.preferredRack
-  return step.sameRack && [...assignments].some(other => other.worker.listing.rack !== worker.listing.rack)
-}
-
 export function createNearWaits(
   clock: Pick<Clock, "now">,
   log: Pick<Logger, "info">,
   remoteFactor: number,
+  {expectRunTime, expectRunTimeOn}: Pick<LearnedRuns, "expectRunTime" | "expectRunTimeOn">,
 ): NearWaits {
-  const runTimes = createRunTimes()
   const rackDemand = createRackDemand()
   const turns = new Map<StepRun, Turn>()
   let pass = 1
@@ -122,16 +111,11 @@
   /** When the tasks on a worker should end, computed once in a pass. */
   const releases = new Map<WorkerState, readonly ExpectedRelease[]>()
 
-  function expectRunTime(job: PipelineJob, stepIndex: number): Milliseconds | undefined {
-    return runTimes.expect(job.queue.name, stepIndex, job.steps[stepIndex]?.estimate ?? 0)
-  }
-
   function expectEnd(assignment: Assignment, worker: WorkerState): Milliseconds {
     const {run, phase, confirmedAt, assignedAt, progressPercent, hasEarlierWork} = assignment
     if (run.step.lasting || phase === "starting") return Infinity
     const startedAt = confirmedAt ?? assignedAt
-    const near = expectRunTime(run.owner.job, run.stepIndex)
-    const expected = near === undefined ? undefined : near * (runsApart(run, worker) ? remoteFactor : 1)
+    const expected = expectRunTimeOn(run, worker)
     if (hasEarlierWork) return expected === undefined ? Infinity : expected * (1 - progressPercent / 100)
     return expectRemaining({
       elapsed: clock.now() - startedAt,
@@ -300,22 +284,8 @@
       claims = new Map()
       releases.clear()
     },
-    recordDone(assignment) {
-      const {run, worker, confirmedAt, hasEarlierWork, phase} = assignment
-      const {step, stepIndex, owner} = run
-      if (confirmedAt === undefined || hasEarlierWork || phase === "stopping") return
-      if (step.lasting || step.fills) return
-      runTimes.record({
-        queue: owner.job.queue.name,
-        stepIndex,
-        tasks: step.count,
-        estimate: step.estimate,
-        duration: (clock.now() - confirmedAt) / (runsApart(run, worker) ? remoteFactor : 1),
-      })
-    },
     counts: () => ({
       waiting_for_rack: [...turns.values()].filter(({waitsSince}) => waitsSince !== undefined).length,
-      run_times: runTimes.size(),
     }),
   }
 }
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -28,6 +28,7 @@
 import {isUsable} from "./candidates.js"
 import {INITIAL_WORK_LIMIT, nextWorkLimit} from "./passbudget.js"
 import {pauseBeforePass} from "./passinterval.js"
+import {createLearnedRuns} from "./learnedruns.js"
 import {createNearWaits} from "./nearwaits.js"
 import {createPlanningPass} from "./planningpass.js"
 import {createStarter} from "./starting.js"
@@ -159,7 +160,8 @@
     onSuperseded: handleSuperseded,
   })
   const leaderLoad = createLeaderLoad(clock, log, term)
-  const nearWaits = createNearWaits(clock, log, limits.remoteFactor)
+  const learnedRuns = createLearnedRuns(clock, limits.remoteFactor)
+  const nearWaits = createNearWaits(clock, log, limits.remoteFactor, learnedRuns)
   const planningPass = createPlanningPass(clock, nearWaits)
   const followers = createFollowers(clock)
   const barrier = createBarrier({
@@ -240,7 +242,7 @@
     onChange: schedulePass,
     workRead: () => workRead,
     onReported: barrier.remove,
-    onDone: nearWaits.recordDone,
+    onDone: learnedRuns.recordDone,
     onFenced(worker) {
       log.info(
         {event: "worker-fenced", worker: worker.listing.id, term},
@@ -629,6 +631,7 @@
       passes,
       commits: ledger.commitCount(),
       ...nearWaits.counts(),
+      run_times: learnedRuns.size(),
       ...leaderLoad.gauges(),
     }),
     close,
--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -9,6 +9,7 @@
 import type {Queue} from "../pipelines/model.js"
 import {placeTasks} from "../pipelines/placing.js"
 import type {WorkerOption} from "../pipelines/placing.js"
+import {relativeSpeed} from "../pipelines/workerspeeds.js"
 import {freeOutsideReservation} from "../pipelines/reserving.js"
 import {
   countTasksByWorker,
@@ -195,6 +196,8 @@
       allowed: run.policyVerdicts.get(worker.listing.id) === true,
       hasTicket: hasTicket(run, worker, view.now),
       isNear: isNear(worker),
+      // Long-running tasks have no end that a fast worker brings nearer.
+      speed: step.lasting || step.fills ? 1 : relativeSpeed(worker.speed),
     }))
   if (!mayRequestEarly && step.gang && !canStartTogether(step, run.waiting.size, candidates)) return
   const options: AdviceCandidate[] = candidates.filter(candidate => !candidate.hasTicket)
--- a/src/planner/reports.ts
+++ b/src/planner/reports.ts
@@ -7,6 +7,7 @@
 import type {TaskName} from "../pipelines/model.js"
 import {parseTask} from "../pipelines/model.js"
 import {isDone} from "../pipelines/progress.js"
+import {TYPICAL_SPEED} from "../pipelines/workerspeeds.js"
 import type {EndedTask, RunningTask, WorkerReport} from "../pipelines/ports.js"
 import type {Confirmation} from "./confirmation.js"
 import type {JobTable} from "./jobtable.js"
@@ -129,6 +130,8 @@
     // Requests meant for the earlier incarnation do not reach this one, but an earlier leader may have found it first.
     worker.deadline = report.clock + leaseDuration
     storing.delete(worker)
+    // It may be of another kind than before.
+    worker.speed = TYPICAL_SPEED
     for (const assignment of [...worker.assignments.values()]) {
       if (assignment.confirmedAt === undefined) linkOf(worker)?.stop(assignment)
       // A start confirmed later may be one of this incarnation; the next report shows it.
--- a/src/planner/state.ts
+++ b/src/planner/state.ts
@@ -9,6 +9,8 @@
 import type {PipelineJob, Step, TaskName, WorkerListing} from "../pipelines/model.js"
 import {formatTask} from "../pipelines/model.js"
 import type {Progress} from "../pipelines/progress.js"
+import {TYPICAL_SPEED} from "../pipelines/workerspeeds.js"
+import type {LearnedSpeed} from "../pipelines/workerspeeds.js"
 import {highestFailedAttempt, isDone, isOccurrenceDone} from "../pipelines/progress.js"
 
 /** Permission of the advice service to run a step on one worker, presented to the worker with each start. */
@@ -36,6 +38,8 @@
   /** Whether the advice service allows the step, by worker. A verdict never changes. */
   readonly policyVerdicts: Map<string, boolean>
   readonly assignments: Set<Assignment>
+  /** Ends of tasks that are compared once all have ended, from which the speeds of workers are learned. */
+  readonly comparedEnds: {readonly worker: WorkerState; readonly duration: Milliseconds}[]
   /** A call to the advice service is queued or in flight for the step. */
   isAwaitingAdvice: boolean
   /** No task of the step is started before this instant, after a failure. */
@@ -135,6 +139,8 @@
   failureWeight: number
   /** Number of recent runs that succeeded, decayed exponentially. */
   successWeight: number
+  /** Learned from the tasks that it has run. */
+  speed: LearnedSpeed
   /** The link to the worker was closed. */
   isClosed: boolean
 }
@@ -173,6 +179,7 @@
     avoidUntil: 0,
     failureWeight: 0,
     successWeight: 0,
+    speed: TYPICAL_SPEED,
     isClosed: false,
   }
 }
@@ -190,6 +197,7 @@
     tickets: new Map(),
     policyVerdicts: new Map(),
     assignments: new Set(),
+    comparedEnds: [],
     isAwaitingAdvice: false,
     retryAt: 0,
     preemptAt: 0,
--- a/test/support/passplay.ts
+++ b/test/support/passplay.ts
@@ -5,6 +5,7 @@
 import type {Milliseconds} from "../../src/core/clock.js"
 import type {Queue, Step} from "../../src/pipelines/model.js"
 import {applyProgress, NO_PROGRESS} from "../../src/pipelines/progress.js"
+import {createLearnedRuns} from "../../src/planner/learnedruns.js"
 import {createNearWaits, NO_NEAR_WAITS} from "../../src/planner/nearwaits.js"
 import type {PassActions} from "../../src/planner/planningpass.js"
 import {createPlanningPass} from "../../src/planner/planningpass.js"
@@ -27,6 +28,10 @@
   /** Number of workers with eight processors by rack. */
   readonly racks: Readonly<Record<string, number>>
   readonly jobs: readonly PlayedJob[]
+  /** Speeds of workers that are not typical, by id: the rack and the number of the worker in it. */
+  readonly speeds?: Readonly<Record<string, number>>
+  /** Whether anything is learned from ends; by default it is. */
+  readonly learns?: boolean
   /** Whether workers report how far tasks are; they do every 400 ms. */
   readonly showsProgress?: boolean
   /** Called before the pass at each instant. */
@@ -63,7 +68,8 @@
   const clock = {now: () => now}
   const lines: Record<string, unknown>[] = []
   const log = {info: (fields: object) => void lines.push({at: now, ...fields})}
-  const waits = play.waits ? createNearWaits(clock, log, play.remoteFactor) : NO_NEAR_WAITS
+  const learned = createLearnedRuns(clock, play.remoteFactor)
+  const waits = play.waits ? createNearWaits(clock, log, play.remoteFactor, learned) : NO_NEAR_WAITS
   const pass = createPlanningPass(clock, waits)
   const workers = Object.entries(play.racks).flatMap(([rack, count]) =>
     Array.from({length: count}, (_, index) => usableWorker(`${rack}-${index}`, rack)),
@@ -97,14 +103,14 @@
       step.preferredRack === ""
         ? step.sameRack && new Set([...run.assignments].map(other => other.worker.listing.rack)).size > 1
         : worker.listing.rack !== step.preferredRack
-    return isApart ? runTime * play.remoteFactor : runTime
+    return (isApart ? runTime * play.remoteFactor : runTime) / (play.speeds?.[worker.listing.id] ?? 1)
   }
 
   function endTasks(worker: WorkerState): void {
     for (const assignment of [...worker.assignments.values()]) {
       const {run, index, assignedAt} = assignment
       if (now - assignedAt < durationOf(assignment)) continue
-      waits.recordDone(assignment)
+      if (play.learns ?? true) learned.recordDone(assignment)
       run.owner.progress = applyProgress(run.owner.job, run.owner.progress, {
         type: "task-done",
         task: toTaskName(run, index),
