A step that waits for a rack doesn't rule out starts elsewhere for the rest of the pass

Cause: while a service is busy, a step for which no worker was found marks its demand as unmet for the rest of the pass; a step that waits for its rack did so too, and others with the same demand lost 100 ms in the test. Change: only a step that finds no room marks its demand. A sameRack step claims one rack and not all. The wait counts from when the step may start under its limits. Measured: the new test failed before (100 ms in place of 0).

--- a/src/planner/nearwaits.ts
+++ b/src/planner/nearwaits.ts
@@ -4,7 +4,8 @@
  * waiting step holds nothing: capacity near its data goes to whoever comes first in scheduling order, and the step itself
  * starts elsewhere as soon as the wait no longer pays.
  *
- * Which steps wait is in the leader's memory. Without learned run times no step waits, so that what a successor does not know costs at most the gain.
+ * Which steps wait is in the leader's memory. Without learned run times no step waits: what a successor does not know
+ * costs no more than the gain.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
@@ -47,9 +48,8 @@
 export interface NearWaits {
   /** False where all places are equal: for a step that prefers none, or if other racks are not slower. */
   readonly concerns: (run: StepRun) => boolean
-  /** Called whenever a pass comes to a step that prefers a rack: its wait counts from the first time. The capacity is that of
-   * a usual worker. */
-  readonly recordTurn: (run: StepRun, capacity: Resources) => void
+  /** Called when a pass comes to a step that prefers a rack and may start. Its wait counts from the first time. */
+  readonly recordTurn: (run: StepRun, usualCapacity: Resources) => void
   /** True if the tasks should wait. The answer holds for one pass. */
   readonly decide: (start: SlowerStart) => boolean
   /** True if the pass has decided that the step waits. */
@@ -84,6 +84,7 @@
 }
 
 interface ExpectedWait {
+  readonly better: BetterRack | undefined
   readonly wait: Milliseconds
   readonly crowd: Crowd
 }
@@ -153,8 +154,9 @@
     const {step} = open.run
     const demand = requiredCapacity(step)
     const held = countTasksByWorker(open.run)
-    let shortest: ExpectedWait = {wait: Infinity, crowd: {position: 1, load: 0}}
-    for (const {rack, workers} of racks) {
+    let shortest: ExpectedWait = {better: racks[0], wait: Infinity, crowd: {position: 1, load: 0}}
+    for (const better of racks) {
+      const {rack, workers} = better
       const ahead = Math.ceil(dominantShare(claims.get(rack)?.demand ?? NO_RESOURCES, demand))
       const places = workers.map(worker => ({
         free: freeOn(worker),
@@ -162,7 +164,7 @@
         releases: listReleases(worker),
       }))
       const wait = expectOpenings(demand, ahead + tasks, places, horizon)
-      if (wait < shortest.wait) shortest = {wait, crowd: crowdOf(rack, workers.length)}
+      if (wait < shortest.wait) shortest = {better, wait, crowd: crowdOf(rack, workers.length)}
     }
     return shortest
   }
@@ -191,18 +193,16 @@
     }
   }
 
-  function claim({open, tasks, startingNow, racks}: SlowerStart): void {
+  function claim({open, tasks, startingNow}: SlowerStart, {rack, workers}: BetterRack): void {
     const demand = requiredCapacity(open.run.step)
     const waiting = tasks - startingNow
-    for (const {rack, workers} of racks) {
-      const capacity = workers[0]?.listing.capacity
-      if (!capacity) continue
-      const claimed = claims.get(rack) ?? {steps: 0, demand: NO_RESOURCES, share: 0}
-      claimed.steps += 1
-      claimed.demand = add(claimed.demand, scale(demand, waiting))
-      claimed.share += (waiting * dominantShare(demand, capacity)) / workers.length
-      claims.set(rack, claimed)
-    }
+    const capacity = workers[0]?.listing.capacity
+    if (!capacity) return
+    const claimed = claims.get(rack) ?? {steps: 0, demand: NO_RESOURCES, share: 0}
+    claimed.steps += 1
+    claimed.demand = add(claimed.demand, scale(demand, waiting))
+    claimed.share += (waiting * dominantShare(demand, capacity)) / workers.length
+    claims.set(rack, claimed)
   }
 
   function endWait(run: StepRun, turn: Turn, outcome: WaitVerdict | "near" | "left"): void {
@@ -218,21 +218,21 @@
   }
 
   function decide(start: SlowerStart): boolean {
-    const {open, tasks, racks} = start
+    const {open, tasks, startingNow} = start
     const {run, queue} = open
     const turn = turns.get(run)
     if (!turn || turn.isDeclined) return false
     const prices = pricesOf(open, turn)
     const bound = prices && boundWait(prices).bound
     const horizon = prices ? Math.min(LONGEST_WAIT_MS, costOfSlowerPlace(prices)) : 0
-    const {wait, crowd} = expectWait(start, horizon)
+    const {better, wait, crowd} = expectWait(start, horizon)
     const verdict = prices === undefined ? "unknown" : weighWait(wait, prices, crowd)
     const inputs = {
       step: run.name,
       queue: queue.name,
-      rack: racks.length === 1 ? racks[0]?.rack : undefined,
+      rack: better?.rack,
       tasks,
-      startingNow: start.startingNow,
+      startingNow,
       // Undefined if it takes longer than the slower place costs.
       expected: wait === Infinity ? undefined : Math.round(wait),
       cost: prices && Math.round(costOfSlowerPlace(prices)),
@@ -241,7 +241,7 @@
       load: Math.round(crowd.load * 100) / 100,
     }
     if (verdict === "pays") {
-      claim(start)
+      if (better) claim(start, better)
       turn.waitsInPass = pass
       if (turn.waitsSince === undefined) {
         turn.waitsSince = clock.now()
@@ -261,11 +261,11 @@
 
   return {
     concerns: ({step}) => remoteFactor > 1 && (step.preferredRack !== "" || step.sameRack),
-    recordTurn(run, capacity) {
+    recordTurn(run, usualCapacity) {
       if (turns.has(run)) return
       const {step, owner, stepIndex, waiting} = run
       const runTime = expectRunTime(owner.job, stepIndex) ?? step.estimate
-      const work = waiting.size * dominantShare(requiredCapacity(step), capacity) * runTime
+      const work = waiting.size * dominantShare(requiredCapacity(step), usualCapacity) * runTime
       if (step.preferredRack !== "") rackDemand.add(step.preferredRack, work, clock.now())
       turns.set(run, {openedAt: clock.now(), waitsSince: undefined, waitsInPass: 0, isDeclined: false})
     },
--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -97,7 +97,7 @@
   const isBest =
     step.preferredRack === "" ? racks.size === 1 : [...racks].every(rack => rack === step.preferredRack)
   if (isBest) return chosen
-  const near = options.filter(({rack}) => step.preferredRack === rack)
+  const near = step.preferredRack === "" ? [] : options.filter(({rack}) => step.preferredRack === rack)
   const startsNear = placeTasks(step, wanted, near)
   const better = listBetterRacks(open, group)
   budget.spend(better.reduce((sum, {workers}) => sum + workers.length * PLACING_WORK, 0))
@@ -117,7 +117,8 @@
   const {run, queue} = open
   const {step} = run
   const [usual] = group.workers
-  if (usual && waits.concerns(run)) waits.recordTurn(run, usual.listing.capacity)
+  if (usual && waits.concerns(run) && limitStarts(open, reserved) > 0)
+    waits.recordTurn(run, usual.listing.capacity)
   if (needsAnswer(run, queue, view.now)) return
   const required = requiredCapacity(step)
   const allowedStarts = limitStarts(open, reserved)
@@ -154,6 +155,8 @@
   const wanted = step.gang ? allowedStarts : Math.min(allowedStarts, affordableStarts)
   const chosen = placeOrWait(open, wanted, options, group, toOption, state)
   if (chosen.length === 0) {
+    // Others may start where a step that waits would not.
+    if (waits.isWaiting(run)) return
     if (withholds && !queue.advice && !step.gang && step.perWorker === 0)
       group.unmetOutsideReservations.add(required)
     return
@@ -184,7 +187,7 @@
   budget.spend(group.workers.length * PLACING_WORK)
   const held = countTasksByWorker(run)
   const isNear = ({listing}: WorkerState): boolean =>
-    waits.concerns(run) && listing.rack === step.preferredRack
+    waits.concerns(run) && step.preferredRack !== "" && listing.rack === step.preferredRack
   const candidates = group.workers
     .filter(worker => run.policyVerdicts.get(worker.listing.id) !== false)
     // A step that waits for its rack has no use for further tickets elsewhere.
--- a/test/unit/waiting.test.ts
+++ b/test/unit/waiting.test.ts
@@ -371,6 +371,14 @@
   t.is(played.times.at(-5), 450)
 })
 
+test("nor do steps that wait hold up others while the service is busy", t => {
+  const other = jobAt(LAST.at, 300, {preferredRack: ""})
+  const jobs = [...lessons(300), ...fillRack(300), jobAt(LAST.at - 50, 300), other]
+  const played = playPasses({...ONE_RACK, racks: {r1: 2, r2: 1}, waits: true, jobs})
+  t.deepEqual(eventsOf(played), ["wait-begun", "wait-ended: near"])
+  t.is(played.startDelays.at(-1), 0)
+})
+
 test("a call for advice names near workers, and leaves room for others that are free", t => {
   const candidate = (id: string, processors: number, isNear: boolean) => ({
     id,
