A rack for which far more work comes than it can do is not looked at

Cause: a decision walked over what runs on the rack also where nobody may wait. Change: the load comes first, and such a step is declined as crowded.

--- a/src/pipelines/waiting.ts
+++ b/src/pipelines/waiting.ts
@@ -159,10 +159,12 @@
 export function weighWait(wait: Milliseconds, prices: WaitPrices, crowd: Crowd): WaitVerdict {
   const {bound, by} = boundWait(prices)
   if (bound <= 0) return by
+  const crowding = crowdingOf(crowd)
+  if (crowding === Infinity) return "crowded"
   if (wait === Infinity) return "no-prospect"
   if (wait >= costOfSlowerPlace(prices)) return "too-long"
   // A place that is free now costs nobody a wait.
-  if (wait > 0 && wait * crowdingOf(crowd) >= costOfSlowerPlace(prices)) return "crowded"
+  if (wait > 0 && wait * crowding >= costOfSlowerPlace(prices)) return "crowded"
   return wait > bound ? by : "pays"
 }
 
--- a/src/planner/nearwaits.ts
+++ b/src/planner/nearwaits.ts
@@ -16,6 +16,7 @@
 import type {Crowd, ExpectedRelease, WaitPrices, WaitVerdict} from "../pipelines/waiting.js"
 import {
   boundWait,
+  crowdingOf,
   costOfSlowerPlace,
   expectOpenings,
   expectRemaining,
@@ -83,6 +84,8 @@
   isDeclined: boolean
 }
 
+const NO_CROWD: Crowd = {position: 1, load: 0}
+
 interface ExpectedWait {
   readonly better: BetterRack | undefined
   readonly wait: Milliseconds
@@ -142,10 +145,10 @@
   }
 
   /** Work comes for a rack that holds the data of a step, but for no certain one if the tasks only have to be together. */
-  function crowdOf(rack: string, workers: number): Crowd {
+  function crowdOf({rack, workers}: BetterRack): Crowd {
     return {
       position: (claims.get(rack)?.steps ?? 0) + 1,
-      load: workers === 0 ? 0 : rackDemand.rate(rack, clock.now()) / workers,
+      load: workers.length === 0 ? 0 : rackDemand.rate(rack, clock.now()) / workers.length,
     }
   }
 
@@ -154,9 +157,13 @@
     const {step} = open.run
     const demand = requiredCapacity(step)
     const held = countTasksByWorker(open.run)
-    let shortest: ExpectedWait = {better: racks[0], wait: Infinity, crowd: {position: 1, load: 0}}
+    const [first] = racks
+    let shortest: ExpectedWait = {better: first, wait: Infinity, crowd: first ? crowdOf(first) : NO_CROWD}
     for (const better of racks) {
       const {rack, workers} = better
+      const crowd = crowdOf(better)
+      // Nobody waits for such a rack, so that its workers need no look.
+      if (horizon <= 0 || crowdingOf(crowd) === Infinity) continue
       const ahead = Math.ceil(dominantShare(claims.get(rack)?.demand ?? NO_RESOURCES, demand))
       const places = workers.map(worker => ({
         free: freeOn(worker),
@@ -164,7 +171,7 @@
         releases: listReleases(worker),
       }))
       const wait = expectOpenings(demand, ahead + tasks, places, horizon)
-      if (wait < shortest.wait) shortest = {better, wait, crowd: crowdOf(rack, workers.length)}
+      if (wait < shortest.wait) shortest = {better, wait, crowd}
     }
     return shortest
   }
@@ -224,7 +231,7 @@
     if (!turn || turn.isDeclined) return false
     const prices = pricesOf(open, turn)
     const bound = prices && boundWait(prices).bound
-    const horizon = prices ? Math.min(LONGEST_WAIT_MS, costOfSlowerPlace(prices)) : 0
+    const horizon = prices && bound ? Math.min(LONGEST_WAIT_MS, costOfSlowerPlace(prices)) : 0
     const {better, wait, crowd} = expectWait(start, horizon)
     const verdict = prices === undefined ? "unknown" : weighWait(wait, prices, crowd)
     const inputs = {
