--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -7,13 +7,11 @@
 import {canStartTogether, chooseWorkersForAdvice} from "../pipelines/adviceselection.js"
 import type {AdviceCandidate} from "../pipelines/adviceselection.js"
 import type {Queue} from "../pipelines/model.js"
-import {placeTasks} from "../pipelines/placing.js"
 import type {WorkerOption} from "../pipelines/placing.js"
 import {relativeSpeed} from "../pipelines/workerspeeds.js"
 import {freeOutsideReservation} from "../pipelines/reserving.js"
 import {
   countTasksByWorker,
-  findAllowedWorkers,
   freeCapacityOf,
   hasRoomFor,
   hasTicket,
@@ -22,7 +20,8 @@
   toWorkerOption,
 } from "./candidates.js"
 import {NO_NEAR_WAITS} from "./nearwaits.js"
-import type {BetterRack, NearWaits} from "./nearwaits.js"
+import type {NearWaits} from "./nearwaits.js"
+import {placeOrWait} from "./placeorwait.js"
 import {listUpcomingSteps, listOpenSteps} from "./opensteps.js"
 import type {OpenStep, PassView} from "./opensteps.js"
 import {preempt} from "./preemption.js"
@@ -63,54 +62,6 @@
   readonly searches: Map<string, number>
 }
 
-/** The racks on which the step would run faster, with their workers on which it is known to be allowed. */
-function listBetterRacks(open: OpenStep, {workers}: WorkerGroup): readonly BetterRack[] {
-  const {step} = open.run
-  const byRack = new Map<string, WorkerState[]>()
-  if (step.preferredRack !== "") byRack.set(step.preferredRack, [])
-  for (const worker of findAllowedWorkers(open, workers)) {
-    const {rack} = worker.listing
-    const listed = byRack.get(rack)
-    if (listed) listed.push(worker)
-    else if (step.preferredRack === "") byRack.set(rack, [worker])
-  }
-  return [...byRack].map(([rack, listed]) => ({rack, workers: listed}))
-}
-
-/**
- * Chooses workers for the tasks. Where some would start on a slower rack and a wait for a better one pays, only those are
- * placed now that find room there.
- */
-function placeOrWait(
-  open: OpenStep,
-  wanted: number,
-  options: readonly WorkerOption[],
-  group: WorkerGroup,
-  toOption: (worker: WorkerState) => WorkerOption,
-  {waits, budget}: PassState,
-): readonly string[] {
-  const {step} = open.run
-  const chosen = placeTasks(step, wanted, options)
-  if (chosen.length === 0 || !waits.concerns(open.run)) return chosen
-  const rackOf = new Map(options.map(({id, rack}) => [id, rack]))
-  const racks = new Set(chosen.map(id => rackOf.get(id)))
-  const isBest =
-    step.preferredRack === "" ? racks.size === 1 : [...racks].every(rack => rack === step.preferredRack)
-  if (isBest) return chosen
-  const near = step.preferredRack === "" ? [] : options.filter(({rack}) => step.preferredRack === rack)
-  const startsNear = placeTasks(step, wanted, near)
-  const better = listBetterRacks(open, group)
-  budget.spend(better.reduce((sum, {workers}) => sum + workers.length * PLACING_WORK, 0))
-  const start = {
-    open,
-    tasks: wanted,
-    startingNow: startsNear.length,
-    racks: better,
-    freeOn: (worker: WorkerState) => toOption(worker).free,
-  }
-  return waits.decide(start) ? startsNear : chosen
-}
-
 /** Starts those tasks of a step that can be placed now. */
 function placeStep(open: OpenStep, group: WorkerGroup, state: PassState): void {
   const {view, actions, index, reserved, budget, waits} = state
@@ -153,7 +104,7 @@
   }
   const options = ready.map(toOption)
   const wanted = step.gang ? allowedStarts : Math.min(allowedStarts, affordableStarts)
-  const chosen = placeOrWait(open, wanted, options, group, toOption, state)
+  const chosen = placeOrWait(open, wanted, options, group, toOption, waits, budget)
   if (chosen.length === 0) {
     // Others may start where a step that waits would not.
     if (waits.isWaiting(run)) return
