--- a/src/pipelines/workerspeeds.ts
+++ b/src/pipelines/workerspeeds.ts
@@ -49,6 +49,15 @@
   })
 }
 
+/** Below this share of the typical speed a worker counts as slow for those who watch the fleet; placement has no such step. */
+const SLOW_SPEED = 0.75
+const KNOWN_ENDS = 4
+
+/** True for a worker that is known to be slow. */
+export function isSlow(speed: LearnedSpeed): boolean {
+  return speed.ends >= KNOWN_ENDS && relativeSpeed(speed) < SLOW_SPEED
+}
+
 /** Speed relative to a typical worker, which has 1. */
 export function relativeSpeed({log}: LearnedSpeed): number {
   return Math.exp(log)
--- a/src/planner/learnedruns.ts
+++ b/src/planner/learnedruns.ts
@@ -3,14 +3,19 @@
  * state is in memory, in `RunTimes` and with each worker, and a successor learns anew.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
+import type {Logger} from "../core/logger.js"
 import type {PipelineJob} from "../pipelines/model.js"
 import {createRunTimes} from "../pipelines/runtimes.js"
-import {learnSpeeds, relativeSpeed} from "../pipelines/workerspeeds.js"
+import type {LearnedSpeed} from "../pipelines/workerspeeds.js"
+import {isSlow, learnSpeeds, relativeSpeed} from "../pipelines/workerspeeds.js"
 import type {Assignment, StepRun, WorkerState} from "./state.js"
 
 /** The ends of one step that are compared with each other. */
 const MAXIMUM_COMPARED_ENDS = 128
 
+/** A worker that was reported as slow is reported again above this speed, so that a borderline one is not all the time. */
+const USUAL_SPEED = 0.85
+
 export interface LearnedRuns {
   /** Called when a task has ended well, while it is still assigned. */
   readonly recordDone: (assignment: Assignment) => void
@@ -28,8 +33,14 @@
   return step.sameRack && [...assignments].some(other => other.worker.listing.rack !== worker.listing.rack)
 }
 
-export function createLearnedRuns(clock: Pick<Clock, "now">, remoteFactor: number): LearnedRuns {
+export function createLearnedRuns(
+  clock: Pick<Clock, "now">,
+  log: Pick<Logger, "info">,
+  remoteFactor: number,
+): LearnedRuns {
   const runTimes = createRunTimes()
+  /** Workers that were reported as slow. */
+  const slowWorkers = new WeakSet<WorkerState>()
 
   function factorOn(run: StepRun, worker: WorkerState): number {
     return (runsApart(run, worker) ? remoteFactor : 1) / relativeSpeed(worker.speed)
@@ -39,6 +50,26 @@
     return runTimes.expect(job.queue.name, stepIndex, job.steps[stepIndex]?.estimate ?? 0)
   }
 
+  function setSpeed(worker: WorkerState, speed: LearnedSpeed): void {
+    worker.speed = speed
+    const wasSlow = slowWorkers.has(worker)
+    if (wasSlow ? relativeSpeed(speed) < USUAL_SPEED : !isSlow(speed)) return
+    if (wasSlow) slowWorkers.delete(worker)
+    else slowWorkers.add(worker)
+    const {id} = worker.listing
+    const rounded = Math.round(relativeSpeed(speed) * 100) / 100
+    log.info(
+      {
+        event: "worker-speed",
+        worker: id,
+        speed: rounded,
+        ends: speed.ends,
+        outcome: wasSlow ? "usual" : "slow",
+      },
+      "the learned speed of a worker is low, or no longer so",
+    )
+  }
+
   /** Compares the tasks of a step once all have ended. The members of a gang end together, whatever their workers. */
   function compareWorkers(run: StepRun, worker: WorkerState, duration: Milliseconds): void {
     const {step, comparedEnds, waiting, assignments} = run
@@ -46,9 +77,7 @@
     if (comparedEnds.length < MAXIMUM_COMPARED_ENDS) comparedEnds.push({worker, duration})
     if (waiting.size > 0 || assignments.size > 1) return
     const learned = learnSpeeds(comparedEnds.map(ended => ({...ended, speed: ended.worker.speed})))
-    comparedEnds.forEach((ended, index) => {
-      ended.worker.speed = learned[index] ?? ended.worker.speed
-    })
+    comparedEnds.forEach((ended, index) => setSpeed(ended.worker, learned[index] ?? ended.worker.speed))
     comparedEnds.length = 0
   }
 
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -18,6 +18,7 @@
 import {watchPrefix} from "./prefixwatch.js"
 import {createJobTable, INITIAL_PROGRESS} from "./jobtable.js"
 import type {ShownState} from "./jobtable.js"
+import {isSlow} from "../pipelines/workerspeeds.js"
 import {estimateMemory, MAX_ACCEPTED_BYTES} from "../pipelines/footprint.js"
 import {findEarlierLeaders} from "./earlierleaders.js"
 import {createLeaderLoad} from "./leaderload.js"
@@ -160,7 +161,7 @@
     onSuperseded: handleSuperseded,
   })
   const leaderLoad = createLeaderLoad(clock, log, term)
-  const learnedRuns = createLearnedRuns(clock, limits.remoteFactor)
+  const learnedRuns = createLearnedRuns(clock, log, limits.remoteFactor)
   const nearWaits = createNearWaits(clock, log, limits.remoteFactor, learnedRuns)
   const planningPass = createPlanningPass(clock, nearWaits)
   const followers = createFollowers(clock)
@@ -632,6 +633,7 @@
       commits: ledger.commitCount(),
       ...nearWaits.counts(),
       run_times: learnedRuns.size(),
+      slow_workers: [...pool.workers.values()].filter(({speed}) => isSlow(speed)).length,
       ...leaderLoad.gauges(),
     }),
     close,
--- a/test/support/passplay.ts
+++ b/test/support/passplay.ts
@@ -68,7 +68,7 @@
   const clock = {now: () => now}
   const lines: Record<string, unknown>[] = []
   const log = {info: (fields: object) => void lines.push({at: now, ...fields})}
-  const learned = createLearnedRuns(clock, play.remoteFactor)
+  const learned = createLearnedRuns(clock, log, play.remoteFactor)
   const waits = play.waits ? createNearWaits(clock, log, play.remoteFactor, learned) : NO_NEAR_WAITS
   const pass = createPlanningPass(clock, waits)
   const workers = Object.entries(play.racks).flatMap(([rack, count]) =>
