--- a/test/unit/workerspeeds.test.ts
+++ b/test/unit/workerspeeds.test.ts
@@ -3,7 +3,7 @@
 import type {LearnedSpeed} from "../../src/pipelines/workerspeeds.js"
 import {learnSpeeds, relativeSpeed, TYPICAL_SPEED} from "../../src/pipelines/workerspeeds.js"
 import {exponential, seededRandom} from "../../src/core/random.js"
-import type {PlayedJob} from "../support/passplay.js"
+import type {Played, PlayedJob} from "../support/passplay.js"
 import {playPasses} from "../support/passplay.js"
 
 /** Workers of the given speeds run one task each of many steps, which differ by a factor of ten. */
@@ -62,11 +62,18 @@
     return {at: Math.round(at), runTime: 150 + 300 * random.next(), steps: [{count: 4, demand}]}
   })
   const speeds = {"r1-0": 0.55, "r1-3": 0.55, "r1-6": 0.55}
-  const meanTime = (learns: boolean): number => {
-    const {times} = playPasses({waits: false, remoteFactor: 1, racks: {r1: 12}, speeds, jobs, learns})
-    return Math.round(times.reduce((sum, time) => sum + time, 0) / times.length)
-  }
-  const [without, learning] = [meanTime(false), meanTime(true)]
+  const play = (learns: boolean): Played =>
+    playPasses({waits: false, remoteFactor: 1, racks: {r1: 12}, speeds, jobs, learns})
+  const meanOf = ({times}: Played): number =>
+    Math.round(times.reduce((sum, time) => sum + time, 0) / times.length)
+  const learned = play(true)
+  const [without, learning] = [meanOf(play(false)), meanOf(learned)]
   t.true(learning < without * 0.85)
+  const reported = learned.lines.filter(({event}) => event === "worker-speed")
+  t.deepEqual(reported.map(({worker, outcome}) => [worker, outcome]).sort(), [
+    ["r1-0", "slow"],
+    ["r1-3", "slow"],
+    ["r1-6", "slow"],
+  ])
   t.snapshot({without, learning})
 })
