--- a/src/planner/instance.ts
+++ b/src/planner/instance.ts
@@ -48,6 +48,8 @@
   readonly longestLease: Milliseconds
   /** After this time no call with a withdrawn key may succeed; 0 if there is no such limit. */
   readonly withdrawalLimit: Milliseconds
+  /** How many times as long a task takes on another rack than its data, or than the other tasks of its step. */
+  readonly remoteFactor: number
 }
 
 export interface FleetInstance {
@@ -137,7 +139,10 @@
     planner?.close()
     const created = createPlanner(
       term,
-      {leaseDuration: Math.min(LEASE_DURATION_MS, identity.longestLease)},
+      {
+        leaseDuration: Math.min(LEASE_DURATION_MS, identity.longestLease),
+        remoteFactor: identity.remoteFactor,
+      },
       {
         ...ports,
         store,
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -114,6 +114,8 @@
   readonly seed?: number
   /** After this time no call with a withdrawn key may succeed; by default there is no such limit. */
   readonly withdrawalLimit?: Milliseconds
+  /** How many times as long a task takes on another rack than its data; 1 by default. */
+  readonly remoteFactor?: number
   /** The processors that each instance may use, by name; 1 by default. */
   readonly processors?: Readonly<Record<string, number>>
   /** Megabits a second that the link of each instance carries, by name; not known by default. */
@@ -285,6 +287,7 @@
         seeds: names.map(addressOf),
         longestLease: 10_000,
         withdrawalLimit: options.withdrawalLimit ?? 0,
+        remoteFactor: options.remoteFactor ?? 1,
       },
       {
         clock: pauses.clockOf(name),
