A test of the caller in calls between instances

Cause: that a call without a workspace and one of an earlier version stay apart on the wire was held by no test.

--- a/test/fleet/connections.test.ts
+++ b/test/fleet/connections.test.ts
@@ -4,7 +4,7 @@
 import {Worker} from "node:worker_threads"
 import test from "ava"
 import type {FleetHandlers} from "../../src/peer/fleet.js"
-import {fleetClients, fleetRoutes} from "../../src/peer/fleet.js"
+import {fleetClients, fleetRoutes, FOREIGN_STATE} from "../../src/peer/fleet.js"
 import {openPeerConnection} from "../../src/peer/connection.js"
 import {servePeers} from "../../src/peer/server.js"
 
@@ -108,3 +108,37 @@
   await new Promise(resolve => setTimeout(resolve, 100))
   t.deepEqual(uncaught, [])
 })
+
+test("a call tells for whom it is made: a workspace, a caller without one, or nobody to be checked", async t => {
+  const seen: unknown[] = []
+  const handlers: FleetHandlers = {
+    ...HANDLERS,
+    jobState(job, caller) {
+      seen.push([job, caller])
+      return FOREIGN_STATE
+    },
+    cancelJob(job, alreadyStored, caller) {
+      seen.push([job, alreadyStored, caller])
+      return Promise.resolve("foreign")
+    },
+    storeJob: () => Promise.resolve("foreign"),
+  }
+  const server = await servePeers(fleetRoutes(handlers), `${LOOPBACK}:0`, undefined)
+  t.teardown(() => server.close())
+  const clients = fleetClients(undefined)
+  t.teardown(() => clients.close())
+  const peer = clients.reach(server.address)
+  for (const caller of [{workspace: "red"}, {workspace: undefined}, undefined]) {
+    t.is((await peer.jobState("one", caller, CALL_TIMEOUT_MS))._unsafeUnwrap(), FOREIGN_STATE)
+    t.is((await peer.cancelJob("one", true, caller, CALL_TIMEOUT_MS))._unsafeUnwrap(), "foreign")
+  }
+  t.is((await peer.storeJob("", false, CALL_TIMEOUT_MS))._unsafeUnwrap(), "foreign")
+  t.deepEqual(seen, [
+    ["one", {workspace: "red"}],
+    ["one", true, {workspace: "red"}],
+    ["one", {workspace: undefined}],
+    ["one", true, {workspace: undefined}],
+    ["one", undefined],
+    ["one", true, undefined],
+  ])
+})
