--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -37,6 +37,7 @@
 import type {Assignment, StepRun, WorkerState} from "./state.js"
 import {requiredCapacity} from "./state.js"
 import {shareSteps} from "./stepsharing.js"
+import type {ExceededShare} from "./stepsharing.js"
 import {createStepTurns} from "./stepturns.js"
 import {indexWorkers} from "./workerindex.js"
 import type {WorkerGroup, WorkerIndex} from "./workerindex.js"
@@ -238,6 +239,7 @@
 /** What a pass has done. */
 export interface PassResult {
   readonly heldSteps: readonly HeldStep[]
+  readonly exceededShares: readonly ExceededShare[]
   /** Number of steps with tasks that might start. */
   readonly openSteps: number
   /** The work that was done before the first step was handled; no limit shortens it. */
@@ -270,11 +272,13 @@
       const index = indexWorkers(pool)
       const openSteps = listOpenSteps(passView)
       const budget = createWorkBudget(passView.workLimit)
-      const shares = shareSteps(openSteps, limitSteps(openSteps, passView), passView, pool)
-      const {steps} = shares
+      const limited = limitSteps(openSteps, passView)
+      const shares = shareSteps(openSteps, limited, passView, pool)
+      const {steps, exceeded} = shares
       const view = {...passView, shareRankOf: shares.shareRankOf}
       const withinShares = steps.filter(({rank}) => rank.shareRank !== BEYOND_SHARE)
-      const reserved = reserver.compute(view, pool, limitSteps(withinShares, view), index, budget)
+      const counted = exceeded.length === 0 ? limited : limitSteps(withinShares, view)
+      const reserved = reserver.compute(view, pool, counted, index, budget)
       const room = createWorkspaceRoom(view.workspaceUses)
       const state: PassState = {
         view,
@@ -336,7 +340,15 @@
       }
       waits.endPass()
       const {heldSteps} = state
-      return {heldSteps, openSteps: openSteps.length, preparation, work, workDuration, isComplete}
+      return {
+        heldSteps,
+        exceededShares: exceeded,
+        openSteps: openSteps.length,
+        preparation,
+        work,
+        workDuration,
+        isComplete,
+      }
     },
   }
 }
