--- a/src/planner/leadership.ts
+++ b/src/planner/leadership.ts
@@ -2,9 +2,9 @@
  * Leader election. One key in the store names the leader. The revision of that key is the term, by which workers and
  * the store refuse requests of an earlier leader. Because of this fencing the leader needs no lease: a follower that
  * finds the leader dead, or unable to reach the store, overwrites the key at once, and a leader that was replaced by
- * mistake can do no harm. Each takeover costs time, though, since the successor has to load the same work. A busy leader
- * may answer pings late, so it also announces itself to a few followers, the witnesses, and is not replaced while one of
- * them has heard it.
+ * mistake can do no harm. Each takeover costs time, though, since the successor has to load the same work, and the more
+ * the less fit it is; `claimorder.ts` lets fitter instances claim first. A busy leader may answer pings late, so it also
+ * announces itself to a few followers, the witnesses, and is not replaced while one of them has heard it.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
 import {sleep, withTimeout} from "../core/clock.js"
--- a/test/fleet/succession.test.ts
+++ b/test/fleet/succession.test.ts
@@ -142,6 +142,21 @@
   }
 })
 
+test("another instance claims soon after the one that has accepted to claim dies", async t => {
+  const fleet = await settledFleet(4)
+  const former = fleet.leader() ?? ""
+  const [accepting = ""] = STRONG_NAMES.filter(name => name !== former)
+  for (const name of STRONG_NAMES) if (name !== accepting) fleet.kill(name)
+  // What it writes to the store never arrives there, and it dies as soon as it has accepted.
+  fleet.store.setMode("silent", accepting)
+  const hasAccepted = (): boolean => fleet.logLines.some(({event}) => event === "take-over")
+  const since = fleet.clock.now()
+  while (!hasAccepted() && fleet.clock.now() - since < 2000) await fleet.clock.advance(1)
+  t.true(hasAccepted())
+  fleet.kill(accepting)
+  t.true((await awaitLeader(fleet)) < 500)
+})
+
 test("a weak instance claims soon after all strong ones have died, whether their machines answer or not", async t => {
   for (const isSilent of [false, true]) {
     const fleet = await settledFleet(3)
