--- a/test/guards/guards.ts
+++ b/test/guards/guards.ts
@@ -423,7 +423,7 @@
   {
     name: "a failed advice call is retried",
     file: "planner/advicedispatcher.js",
-    find: "clock.after(AVOID_AFTER_FAILURE_MS, dispatch);",
+    find: "clock.after(span, dispatch);",
     replace: "",
     test: "fleet/adviser.test.js",
     match: "a call that failed everywhere*",
