--- a/src/cli/daemon.ts
+++ b/src/cli/daemon.ts
@@ -59,10 +59,12 @@
         name: settings.instance,
         address: settings.peerAddress,
         processors: settings.processors,
+        linkMegabits: settings.linkMegabits,
       },
       incarnation,
       seeds: seedAddresses(settings),
       longestLease: settings.longestLease,
+      withdrawalLimit: settings.withdrawalLimit,
       remoteFactor: settings.remoteFactor,
     },
     {
@@ -79,6 +81,7 @@
   )
   const frontend = createFrontend({
     intake: instance.intake,
+    authorizer: instance.authorizer,
     configuration: instance.configuration,
     wallClock: clock.wallClock,
     longestRecord: settings.longestStoredValue,
--- a/src/peer/fleet.ts
+++ b/src/peer/fleet.ts
@@ -10,6 +10,7 @@
 import {CallFailed, describeError} from "../core/errors.js"
 import type {PeerConnection, PeerTls} from "./connection.js"
 import {openPeerConnection} from "./connection.js"
+import type {Caller} from "../pipelines/callers.js"
 import {Fleet, StoreOutcome} from "./generated/fleet_pb.js"
 import {Relay} from "./generated/relay_pb.js"
 import {openRelayChannel, relayService} from "./relay.js"
@@ -20,6 +21,10 @@
   readonly address: string
   /** Capacity that the instance may use, in processors of standard speed. */
   readonly processors: number
+  /** Megabits a second that its link carries; 0 or undefined if that is not known. */
+  readonly linkMegabits?: number
+  /** It has been up and in touch with a leader for some seconds. */
+  readonly isWarm?: boolean
 }
 
 /** Load of one queue. It is part of each ping answer, so that every instance can answer callers. */
@@ -64,6 +69,8 @@
   readonly members: readonly Member[] | undefined
   /** The digest of the leader's list of members; 0 at other instances. */
   readonly membersDigest: number
+  /** The members most fit to lead that the instance knows of; only for a sender that has no list of members. */
+  readonly fittest: readonly Member[]
   /** The counts of the instance as the leader; undefined when it has none. */
   readonly queues: CountedLoads | undefined
   /** How long the leader has come no further in reading its work; 0 once it has read it, or if it does not lead. */
@@ -72,9 +79,14 @@
   readonly clockMs: Milliseconds
 }
 
-/** `over-capacity`: not stored, since the leader could not hold the job beside those that it has accepted. */
-export type StoreAnswer = "stored" | "not-stored" | "unknown" | "not-leader" | "over-capacity"
-export type CancelAnswer = "cancelled" | "ended" | "unknown-job" | "not-stored"
+/**
+ * `over-capacity`: not stored, since the leader could not hold the job beside those that it has accepted. `foreign`: not
+ * stored, since another workspace has a job with this identity.
+ */
+export type StoreAnswer = "stored" | "not-stored" | "unknown" | "not-leader" | "over-capacity" | "foreign"
+export type CancelAnswer = "cancelled" | "ended" | "unknown-job" | "not-stored" | "foreign"
+/** The answer to a caller who asks for the state of a job of another workspace. */
+export const FOREIGN_STATE = "foreign"
 
 /** A permit of the advice service: the ticket with which a task of the step may start on the worker. */
 export interface PermitRow {
@@ -82,21 +94,39 @@
   readonly ticket: string
 }
 
+/** A call to the advice service that the leader asks another instance to make. */
+export interface AdviceQuestion {
+  readonly step: string
+  readonly workers: readonly string[]
+  readonly timeoutMs: Milliseconds
+  /** How long the advice service is expected to work on the call. */
+  readonly durationMs: Milliseconds
+}
+
+export interface AdviceReply {
+  /** Undefined if the advice service gave no answer. */
+  readonly permits: readonly PermitRow[] | undefined
+  /** Not 0 if the instance has made no call, since its turn at the service is taken for about this long. */
+  readonly busyMs: Milliseconds
+  /** Time until the advice service answered, or until the instance gave up. */
+  readonly serviceMs: Milliseconds
+}
+
 /** Implementation of the calls that an instance serves to its peers. */
 export interface FleetHandlers {
   readonly ping: (ping: Ping) => PingAnswer
   /** Stores and plans a job. With `alreadyStored` the job is in the store already and is only planned. */
   readonly storeJob: (record: string, alreadyStored: boolean) => Promise<StoreAnswer>
-  /** The state of a job; empty if the job is not known here. */
-  readonly jobState: (job: string) => string
+  /** The state of a job; empty if the job is not known here. Without a caller, nobody's access is checked. */
+  readonly jobState: (job: string, caller: Caller | undefined) => string
   /** Cancels a job. With `alreadyStored` the cancellation is in the store already and is only applied. */
-  readonly cancelJob: (job: string, alreadyStored: boolean) => Promise<CancelAnswer>
-  /** Asks the advice service for permits of a step on the given workers; undefined if it did not answer. */
-  readonly ask: (
-    step: string,
-    workers: readonly string[],
-    timeout: Milliseconds,
-  ) => Promise<readonly PermitRow[] | undefined>
+  readonly cancelJob: (
+    job: string,
+    alreadyStored: boolean,
+    caller: Caller | undefined,
+  ) => Promise<CancelAnswer>
+  /** Asks the advice service for permits of a step on the given workers. */
+  readonly ask: (question: AdviceQuestion) => Promise<AdviceReply>
   /** Asks the instance to become leader after the leader of `term`; true if it accepts. */
   readonly takeOver: (term: number) => boolean
   /** The configuration in force as its text in the store; empty if there is none. */
@@ -115,17 +145,18 @@
     alreadyStored: boolean,
     timeout: Milliseconds,
   ) => Promise<Result<StoreAnswer, CallFailed>>
-  readonly jobState: (job: string, timeout: Milliseconds) => Promise<Result<string, CallFailed>>
+  readonly jobState: (
+    job: string,
+    caller: Caller | undefined,
+    timeout: Milliseconds,
+  ) => Promise<Result<string, CallFailed>>
   readonly cancelJob: (
     job: string,
     alreadyStored: boolean,
+    caller: Caller | undefined,
     timeout: Milliseconds,
   ) => Promise<Result<CancelAnswer, CallFailed>>
-  readonly ask: (
-    step: string,
-    workers: readonly string[],
-    timeout: Milliseconds,
-  ) => Promise<Result<readonly PermitRow[] | undefined, CallFailed>>
+  readonly ask: (question: AdviceQuestion) => Promise<Result<AdviceReply, CallFailed>>
   readonly takeOver: (term: number, timeout: Milliseconds) => Promise<Result<boolean, CallFailed>>
   readonly configuration: (timeout: Milliseconds) => Promise<Result<string, CallFailed>>
   /** Opens a channel over which the instance carries calls of this term to workers. */
@@ -150,6 +181,7 @@
   [StoreOutcome.UNKNOWN]: "unknown",
   [StoreOutcome.NOT_LEADER]: "not-leader",
   [StoreOutcome.OVER_CAPACITY]: "over-capacity",
+  [StoreOutcome.FOREIGN]: "foreign",
 }
 
 const STORE_OUTCOMES: Readonly<Record<StoreAnswer, StoreOutcome>> = {
@@ -158,9 +190,19 @@
   unknown: StoreOutcome.UNKNOWN,
   "not-leader": StoreOutcome.NOT_LEADER,
   "over-capacity": StoreOutcome.OVER_CAPACITY,
+  foreign: StoreOutcome.FOREIGN,
 }
 
-const CANCEL_ANSWERS: ReadonlySet<string> = new Set(["cancelled", "ended", "unknown-job"])
+const CANCEL_ANSWERS: ReadonlySet<string> = new Set(["cancelled", "ended", "unknown-job", "foreign"])
+
+/** The field of a call that names the caller: empty for a caller without a workspace, absent where none is checked. */
+function formatCaller(caller: Caller | undefined): {readonly workspace?: string} {
+  return caller ? {workspace: caller.workspace ?? ""} : {}
+}
+
+function parseCaller(workspace: string | undefined): Caller | undefined {
+  return workspace === undefined ? undefined : {workspace: workspace === "" ? undefined : workspace}
+}
 
 function toCallFailed(address: string, error: unknown): CallFailed {
   const cause =
@@ -199,17 +241,19 @@
         const {outcome} = await client.storeJob({record, alreadyStored}, {timeoutMs})
         return STORE_ANSWERS[outcome]
       }),
-    jobState: (job, timeoutMs) => runCall(async () => (await client.jobState({job}, {timeoutMs})).state),
-    cancelJob: (job, alreadyStored, timeoutMs) =>
+    jobState: (job, caller, timeoutMs) =>
+      runCall(async () => (await client.jobState({job, ...formatCaller(caller)}, {timeoutMs})).state),
+    cancelJob: (job, alreadyStored, caller, timeoutMs) =>
       runCall(async () => {
-        const {outcome} = await client.cancelJob({job, alreadyStored}, {timeoutMs})
+        const request = {job, alreadyStored, ...formatCaller(caller)}
+        const {outcome} = await client.cancelJob(request, {timeoutMs})
         return CANCEL_ANSWERS.has(outcome) ? (outcome as CancelAnswer) : "not-stored"
       }),
-    ask: (step, workers, timeout) =>
+    ask: question =>
       runCall(async () => {
-        const request = {step, workers: [...workers], timeoutMs: timeout}
-        const reply = await client.ask(request, {timeoutMs: timeout + ASK_TIMEOUT_MARGIN_MS})
-        return reply.answered ? reply.permits : undefined
+        const request = {...question, workers: [...question.workers]}
+        const reply = await client.ask(request, {timeoutMs: question.timeoutMs + ASK_TIMEOUT_MARGIN_MS})
+        return {...reply, permits: reply.answered ? reply.permits : undefined}
       }),
     takeOver: (term, timeoutMs) => runCall(async () => (await client.takeOver({term}, {timeoutMs})).accepted),
     configuration: timeoutMs => runCall(async () => (await client.configuration({}, {timeoutMs})).value),
@@ -252,6 +296,7 @@
           loadingMs: Math.ceil(answer.loadingMs),
           configurationAgeMs: Math.ceil(answer.configurationAgeMs),
           members: [...(answer.members ?? [])],
+          fittest: [...answer.fittest],
           queues: (answer.queues?.loads ?? []).map(queue => ({
             ...queue,
             retryAfterMs: Math.round(queue.retryAfterMs),
@@ -262,14 +307,19 @@
       async storeJob({record, alreadyStored}) {
         return {outcome: STORE_OUTCOMES[await handlers.storeJob(record, alreadyStored)]}
       },
-      jobState: ({job}) => ({state: handlers.jobState(job)}),
-      async cancelJob({job, alreadyStored}) {
-        const outcome = await handlers.cancelJob(job, alreadyStored)
+      jobState: ({job, workspace}) => ({state: handlers.jobState(job, parseCaller(workspace))}),
+      async cancelJob({job, alreadyStored, workspace}) {
+        const outcome = await handlers.cancelJob(job, alreadyStored, parseCaller(workspace))
         return {outcome: outcome === "not-stored" ? "" : outcome}
       },
-      async ask({step, workers, timeoutMs}) {
-        const permits = await handlers.ask(step, workers, timeoutMs)
-        return {answered: permits !== undefined, permits: [...(permits ?? [])]}
+      async ask(question) {
+        const {permits, busyMs, serviceMs} = await handlers.ask(question)
+        return {
+          answered: permits !== undefined,
+          permits: [...(permits ?? [])],
+          busyMs: Math.ceil(busyMs),
+          serviceMs: Math.round(serviceMs),
+        }
       },
       takeOver: ({term}) => ({accepted: handlers.takeOver(term)}),
       configuration: () => ({value: handlers.configuration()}),
--- a/src/planner/instance.ts
+++ b/src/planner/instance.ts
@@ -10,7 +10,10 @@
 import type {FleetClients, FleetHandlers, Member, Ping, PingAnswer, QueueLoad} from "../peer/fleet.js"
 import type {FleetConfiguration} from "../pipelines/model.js"
 import type {AdviceCalls, FleetReader, KeyValueStore, WorkerCalls} from "../pipelines/ports.js"
+import {createAdviceCaller} from "./advicecaller.js"
 import type {AdviceRequester} from "./advicedispatcher.js"
+import {createAuthorizer} from "./authorizer.js"
+import type {Authorizer} from "./authorizer.js"
 import {createConfigurationHolder} from "./configurationholder.js"
 import {createConfigurationUpdater} from "./configurationupdater.js"
 import {createIntake} from "./intake.js"
@@ -43,12 +46,15 @@
   readonly seeds: readonly string[]
   /** Upper limit for the leases of tasks. */
   readonly longestLease: Milliseconds
+  /** After this time no call with a withdrawn key may succeed; 0 if there is no such limit. */
+  readonly withdrawalLimit: Milliseconds
   /** How many times as long a task takes on another rack than its data, or than the other tasks of its step. */
   readonly remoteFactor: number
 }
 
 export interface FleetInstance {
   readonly intake: Intake
+  readonly authorizer: Authorizer
   readonly handlers: FleetHandlers
   readonly configuration: () => FleetConfiguration | undefined
   /** The answer to the platform's readiness checks. */
@@ -102,6 +108,7 @@
       updater.recordLeaderVersion(answer.configurationVersion, answer.configurationAgeMs, sentAt)
     },
     isStoreFailing: () => storeHealth.failingFor() > 0,
+    duty: () => planner?.duty() ?? {plannedFor: 0, openSteps: 0},
   })
   const updater = createConfigurationUpdater({
     clock,
@@ -117,6 +124,15 @@
       const answer = await clients.reach(leader.member.address).configuration(CONFIGURATION_TIMEOUT_MS)
       return answer.unwrapOr("")
     },
+    withdrawalLimit: identity.withdrawalLimit,
+  })
+  const authorizer = createAuthorizer({
+    clock,
+    log,
+    configuration: configuration.current,
+    age: updater.age,
+    refresh: updater.refresh,
+    withdrawalLimit: identity.withdrawalLimit,
   })
 
   async function startPlanner(term: number, confirmedAt: Milliseconds): Promise<void> {
@@ -152,23 +168,14 @@
     }
   }
 
-  async function ask(
-    step: string,
-    workers: readonly string[],
-    timeout: Milliseconds,
-  ): ReturnType<FleetHandlers["ask"]> {
-    const answer = await advice.ask(step, workers, timeout)
-    if (answer.isErr())
-      log.warn({event: "advice-error", step, reason: answer.error.message}, "a request for advice failed")
-    return answer.unwrapOr(undefined)
-  }
+  const adviceCaller = createAdviceCaller(clock, log, advice, () => isDraining)
 
   function askerOf(member: Member): AdviceRequester {
-    if (member.name === identity.member.name) return {...member, requestAdvice: ask}
+    if (member.name === identity.member.name) return {...member, requestAdvice: adviceCaller.ask}
     return {
       ...member,
-      async requestAdvice(step, workers, timeout) {
-        const answer = await clients.reach(member.address).ask(step, workers, timeout)
+      async requestAdvice(question) {
+        const answer = await clients.reach(member.address).ask(question)
         return answer.unwrapOr(undefined)
       },
     }
@@ -202,6 +209,7 @@
       configurationAgeMs: Math.min(updater.age(), 1e6),
       members: list?.digest === membersDigest ? undefined : list?.members,
       membersDigest: list?.digest ?? 0,
+      fittest: membersDigest === 0 ? leadership.fittest() : [],
       queues: planner?.loads(),
       loadingMs: planner?.loadingFor() ?? 0,
       clockMs: clock.now(),
@@ -218,9 +226,10 @@
   const handlers: FleetHandlers = {
     ping: answerPing,
     storeJob: async (record, alreadyStored) => planner?.storeJob(record, alreadyStored) ?? "not-leader",
-    jobState: job => planner?.stateOf(job) ?? "",
-    cancelJob: async (job, alreadyStored) => planner?.cancel(job, alreadyStored) ?? "not-stored",
-    ask,
+    jobState: (job, caller) => planner?.stateOf(job, caller) ?? "",
+    cancelJob: async (job, alreadyStored, caller) =>
+      planner?.cancel(job, alreadyStored, caller) ?? "not-stored",
+    ask: adviceCaller.ask,
     takeOver: term => leadership.takeOver(term),
     configuration: configuration.text,
     acceptChannel: carrier.accept,
@@ -239,16 +248,19 @@
 
   return {
     intake,
+    authorizer,
     handlers,
     configuration: configuration.current,
     isReady() {
-      if (isDraining || !configuration.current()) return false
+      if (isDraining || !configuration.current() || !authorizer.isConfirmed()) return false
       return planner !== undefined || leadership.timeSinceLeaderAnswer() < MAX_LEADERLESS_MS
     },
     isDraining: () => isDraining,
     counts: () => ({
       leads: leadership.isLeader() ? 1 : 0,
       members: leadership.members().length,
+      ...authorizer.counts(),
+      advice_refused: adviceCaller.countBusy(),
       ...planner?.counts(),
     }),
     start() {
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -6,23 +6,32 @@
 import type {Clock, Milliseconds} from "../core/clock.js"
 import {withTimeout} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
+import {isForeign, maySee, ownerOf} from "../pipelines/callers.js"
+import type {Caller} from "../pipelines/callers.js"
+import type {Resources} from "../core/resources.js"
+import {add, isNothing, NO_RESOURCES} from "../core/resources.js"
 import type {FleetConfiguration, PipelineJob, Queue} from "../pipelines/model.js"
 import type {FleetReader, KeyChange, KeyValueStore, StoredItem, WorkerCalls} from "../pipelines/ports.js"
+import {FOREIGN_STATE} from "../peer/fleet.js"
 import type {CancelAnswer, CountedLoads, Member, StoreAnswer} from "../peer/fleet.js"
 import type {OpenChannel} from "../relay/channel.js"
 import {createRelayDispatcher} from "../relay/dispatcher.js"
+import {createAcceptedMemory} from "./acceptedmemory.js"
 import type {AdviceRequester} from "./advicedispatcher.js"
 import {createAdviceDispatcher} from "./advicedispatcher.js"
 import {createBarrier, unconfirmedLimit} from "./barrier.js"
 import {createConfirmation} from "./confirmation.js"
+import type {LeaderDuty} from "../pipelines/succession.js"
 import {watchPrefix} from "./prefixwatch.js"
 import {createJobTable, INITIAL_PROGRESS} from "./jobtable.js"
 import type {ShownState} from "./jobtable.js"
+import type {WorkspaceUse} from "../pipelines/workspaceroom.js"
 import {isSlow} from "../pipelines/workerspeeds.js"
-import {estimateMemory, MAX_ACCEPTED_BYTES} from "../pipelines/footprint.js"
 import {findEarlierLeaders} from "./earlierleaders.js"
 import {createLeaderLoad} from "./leaderload.js"
 import type {LeaderBacklog} from "./leaderload.js"
+import {createEndedRuns} from "./endedruns.js"
+import {createHoldLog} from "./holdlog.js"
 import {createFollowers} from "./followers.js"
 import {createLedger} from "./ledger.js"
 import {throttleWorker} from "./throttle.js"
@@ -37,6 +46,7 @@
 import {readStoredWork} from "./storedwork.js"
 import {
   formatTerm,
+  jobKey,
   LEADER_KEY,
   parseKey,
   parseJob,
@@ -53,6 +63,8 @@
 import {openWorkerLink} from "./workerlink.js"
 import type {WorkerLinkEvents} from "./workerlink.js"
 import {createWorkerPool} from "./workerpool.js"
+import type {RemainingRuns} from "./workspaceuse.js"
+import {createWorkspaceUses, sumRuns, sumWaiting} from "./workspaceuse.js"
 
 export interface PlannerLimits {
   /** How long the lease of a worker's tasks lasts from each renewal. */
@@ -92,13 +104,16 @@
   readonly loadingFor: () => Milliseconds
   /** With `alreadyStored`, the job is in the store and only has to be added to the planned jobs. */
   readonly storeJob: (record: string, alreadyStored: boolean) => Promise<StoreAnswer>
-  readonly stateOf: (job: string) => ShownState | undefined
+  /** Undefined for an unknown job. Without a caller, nobody's access is checked. */
+  readonly stateOf: (job: string, caller?: Caller) => ShownState | typeof FOREIGN_STATE | undefined
   /** With `alreadyStored`, the cancellation is in the store and only has to be applied. */
-  readonly cancel: (job: string, alreadyStored: boolean) => Promise<CancelAnswer>
+  readonly cancel: (job: string, alreadyStored: boolean, caller?: Caller) => Promise<CancelAnswer>
   /** The number of jobs not yet started, by queue. Undefined until jobs have been read from the store. */
   readonly loads: () => CountedLoads | undefined
   /** Records a ping that names this term. `answeredAt` is the time of the latest answer that the follower had, or 0. */
   readonly recordFollower: (name: string, answeredAt: Milliseconds) => void
+  /** How busy this leader is, for the decision whether it hands over. */
+  readonly duty: () => LeaderDuty
   readonly schedulePass: () => void
   readonly counts: () => Readonly<Record<string, number>>
   readonly close: () => void
@@ -123,13 +138,13 @@
   let isClosed = false
   let isPassScheduled = false
   let isLoaded = false
+  let loadedAt = Infinity
   let passes = 0
   let lastPassDuration: Milliseconds = 0
   let workLimit = INITIAL_WORK_LIMIT
   let openSteps = 0
+  let heldSteps = 0
   let workRead: WorkRead = {sentAt: startedAt, answeredAt: startedAt}
-  /** Bytes that the jobs whose records are being written are estimated to take. */
-  let memoryBeingStored = 0
   /** Jobs whose records are being written, each with the answer to its submission. */
   const jobsBeingStored = new Map<string, Promise<StoreAnswer>>()
   /** Workers that have refused this term, while the store is asked whether there is a later one. */
@@ -176,7 +191,11 @@
   })
   const queueServices = createQueueServices()
   const adviceDispatcher = createAdviceDispatcher(clock, log, adviceRequesters)
-  const jobs = createJobTable(clock, log, ledger, findQueue, stopAllRuns)
+  const jobs = createJobTable(clock, log, ledger, findQueue, handleOutcome)
+  const acceptedMemory = createAcceptedMemory(log, jobs, () => configuration()?.workspaces ?? [])
+  const workspaceUses = createWorkspaceUses()
+  const endedRuns = createEndedRuns()
+  const holdLog = createHoldLog(clock, log)
 
   function findQueue(name: string): Queue | undefined {
     return configuration()?.queues.find(queue => queue.name === name)
@@ -285,10 +304,47 @@
     schedulePass()
   }
 
-  function stopAllRuns(active: ActiveJob): void {
+  /** Stops all runs of a job that has ended. Returns what they occupy until then. */
+  function handleOutcome(active: ActiveJob): RemainingRuns | undefined {
     for (const run of active.stepRuns) {
       for (const assignment of run.assignments) pool.linkOf(assignment.worker)?.stop(assignment)
     }
+    const {job, progress} = active
+    // The runs of a completed job have all ended.
+    if (job.workspace === undefined || progress.outcome === "completed") return undefined
+    const unseen = mayRunUnseen(active) ? sumWaiting(active) : NO_RESOURCES
+    if (!isNothing(unseen)) endedRuns.add(job.id, {workspace: job.workspace, occupied: unseen})
+    const occupied = add(sumRuns(active), unseen)
+    return isNothing(occupied) ? undefined : {workspace: job.workspace, occupied}
+  }
+
+  /** True while tasks of the job that are not assigned here may run for an earlier leader. */
+  function mayRunUnseen(active: ActiveJob): boolean {
+    if (!active.isInherited) return false
+    if (queueServices.listUsed(active.job).some(barrier.blocks)) return true
+    return reports.isAwaitingReport(active.job.id)
+  }
+
+  /** Total capacity of the workers on which tasks may run that are not assigned here. */
+  function sumUnseenCapacity(): Resources {
+    let sum = NO_RESOURCES
+    for (const worker of pool.workers.values())
+      if (barrier.has(worker) || worker.unknownJobs.size > 0) sum = add(sum, worker.listing.capacity)
+    return sum
+  }
+
+  function sumWorkspaceUse(): ReadonlyMap<string, WorkspaceUse> {
+    endedRuns.check(pool.workers.values(), barrier.countWorkers() === 0)
+    return workspaceUses.update(configuration(), {
+      activeJobs: jobs.active.values(),
+      mayRunUnseen: active => active.progress.outcome === undefined && mayRunUnseen(active),
+      unseenCapacity: sumUnseenCapacity,
+      remainingRuns: endedRuns.list(),
+    })
+  }
+
+  function sumCapacity(): Resources {
+    return [...pool.workers.values()].reduce((sum, {listing}) => add(sum, listing.capacity), NO_RESOURCES)
   }
 
   const starter = createStarter({
@@ -360,6 +416,7 @@
     passes += 1
     for (const active of jobs.active.values()) openDueOccurrences(active, clock.wallClock())
     const passStartedAt = clock.now()
+    const uses = sumWorkspaceUse()
     const result = planningPass.run(
       {
         now: clock.now(),
@@ -371,12 +428,15 @@
         awaitsListing: reports.isAwaitingReport,
         urgentPriorities: listUrgentPriorities(),
         idleRequesters: adviceDispatcher.countIdle(),
+        workspaceUses: uses,
         workLimit,
       },
       starter,
     )
     if (queueServices.needsRecording()) writeTerm(followers.current())
+    holdLog.record(result.heldSteps, uses)
     openSteps = result.openSteps
+    heldSteps = result.heldSteps.length
     lastPassDuration = clock.now() - passStartedAt
     const {preparation, work, workDuration} = result
     workLimit = preparation + nextWorkLimit(workLimit - preparation, work, workDuration)
@@ -426,7 +486,11 @@
     schedulePass()
   }
 
-  async function cancel(job: string, alreadyStored: boolean): Promise<CancelAnswer> {
+  function mayAccess(job: string, caller: Caller | undefined): boolean {
+    return caller === undefined || maySee(jobs.ownerOf(job), caller)
+  }
+
+  async function cancel(job: string, alreadyStored: boolean, caller?: Caller): Promise<CancelAnswer> {
     // A caller may cancel a job without having waited until it is stored.
     const storing = jobsBeingStored.get(job)
     if (storing && !alreadyStored) await storing
@@ -436,6 +500,7 @@
       earlyCancellations.add(job)
       return "cancelled"
     }
+    if (!mayAccess(job, caller)) return "foreign"
     const active = jobs.active.get(job)
     if (!active) return "ended"
     const stored = jobs.updateProgress(active, {type: "cancelled"})
@@ -475,8 +540,9 @@
     const work = readStoredWork(items)
     for (const {job, revision, record} of work.progress.values()) {
       ledger.setRevision(progressKey(job), revision)
+      if (record?.remaining) endedRuns.add(job, record.remaining)
       if (record?.withdrawn) jobs.addWithdrawn(job, record.writtenAt)
-      else if (record?.outcome) jobs.addEnded(job, record.outcome, record.writtenAt)
+      else if (record?.outcome) jobs.addEnded(job, record.outcome, record.writtenAt, record.owner)
     }
     for (const job of work.jobs) {
       const record = work.progress.get(job.id)?.record
@@ -522,6 +588,7 @@
     initialEntries = 0
     for (const worker of pool.workers.values()) if (!worker.isFenced) barrier.add(worker)
     isLoaded = true
+    loadedAt = clock.now()
     const hasClosed = (): boolean => isClosed
     void watchPrefix(
       store,
@@ -577,8 +644,12 @@
   async function storeNewJob(job: PipelineJob): Promise<StoreAnswer> {
     const outcome = await ledger.storeJob(job)
     if (outcome === "stored" && !isClosed) addJob(job)
+    if (outcome !== "exists") return outcome
     // An existing job is already in the job table, or the next poll of the store finds it.
-    return outcome === "exists" ? "stored" : outcome
+    if (job.workspace === undefined) return "stored"
+    const read = await store.read(jobKey(job.id))
+    const existing = read.isOk() && read.value ? parseJob(read.value.value) : undefined
+    return existing && isForeign(ownerOf(existing), job) ? "foreign" : "stored"
   }
 
   function close(): void {
@@ -600,27 +671,24 @@
         if (!isClosed && isLoaded) addJob(job)
         return "stored"
       }
-      if (jobs.has(job.id)) return "stored"
-      const memory = estimateMemory(job)
-      if (jobs.memory() + memoryBeingStored + memory > MAX_ACCEPTED_BYTES) {
-        log.warn(
-          {event: "job-over-capacity", job: job.id, memory, accepted: jobs.memory() + memoryBeingStored},
-          "job refused, since the leader could not hold it beside those accepted",
-        )
-        return "over-capacity"
-      }
-      memoryBeingStored += memory
+      if (jobs.has(job.id)) return isForeign(jobs.ownerOf(job.id), job) ? "foreign" : "stored"
+      const reservation = acceptedMemory.reserve(job)
+      if (!reservation) return "over-capacity"
       const storing = storeNewJob(job)
       jobsBeingStored.set(job.id, storing)
       return storing.finally(() => {
-        memoryBeingStored -= memory
+        acceptedMemory.release(reservation)
         if (jobsBeingStored.get(job.id) === storing) jobsBeingStored.delete(job.id)
       })
     },
-    stateOf: job => jobs.stateOf(job),
+    stateOf(job, caller) {
+      const state = jobs.stateOf(job)
+      return state !== undefined && !mayAccess(job, caller) ? FOREIGN_STATE : state
+    },
     cancel,
     loads,
     recordFollower: followers.record,
+    duty: () => ({plannedFor: Math.round(Math.max(0, clock.now() - loadedAt)), openSteps}),
     schedulePass,
     counts: () => ({
       active: jobs.active.size,
@@ -630,11 +698,13 @@
       starts: starter.countStarts(),
       relays: relays.countRelays(),
       passes,
+      held_steps: heldSteps,
       commits: ledger.commitCount(),
       ...nearWaits.counts(),
       run_times: learnedRuns.size(),
       slow_workers: [...pool.workers.values()].filter(({speed}) => isSlow(speed)).length,
       ...leaderLoad.gauges(),
+      ...workspaceUses.gauges(sumCapacity()),
     }),
     close,
   }
--- a/src/planner/starting.ts
+++ b/src/planner/starting.ts
@@ -5,6 +5,8 @@
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
 import {adviceCallDuration} from "../pipelines/adviceselection.js"
+import {WITHIN_SHARE} from "../pipelines/fairshare.js"
+import type {ShareRank} from "../pipelines/fairshare.js"
 import type {AdviceTerms, Queue} from "../pipelines/model.js"
 import type {Permit, StartAnswer} from "../pipelines/ports.js"
 import type {AdviceDispatcher} from "./advicedispatcher.js"
@@ -17,6 +19,8 @@
 const AVOID_AFTER_REFUSAL_MS: Milliseconds = 400
 /** Pause before a step is started again, after a malformed order or a refused member of its gang. */
 const STEP_RETRY_MS: Milliseconds = 150
+/** Ranks by fair share order the calls of one priority. */
+const SHARE_RANK_STEP = 0.25
 /** Limit for the age of a ticket at which its answer arrives, as a share of its life. */
 const MAXIMUM_TICKET_AGE = 0.5
 
@@ -131,7 +135,12 @@
     schedulePass()
   }
 
-  function requestAdvice(run: StepRun, queue: Queue, workers: readonly string[]): void {
+  function requestAdvice(
+    run: StepRun,
+    queue: Queue,
+    workers: readonly string[],
+    shareRank: ShareRank = WITHIN_SHARE,
+  ): void {
     const terms = queue.advice
     if (!terms) return
     run.isAwaitingAdvice = true
@@ -139,14 +148,18 @@
     adviceDispatcher.submit({
       step: run.name,
       workers,
-      priority: queue.priority,
+      priority: queue.priority + shareRank * SHARE_RANK_STEP,
       duration: adviceCallDuration(terms, workers.length),
-      isWanted: () => !context.isClosed() && run.waiting.size > 0 && run.owner.progress.outcome === undefined,
-      onAnswer(permits, decidedAt) {
+      isWanted: () =>
+        !context.isClosed() &&
+        run.waiting.size > 0 &&
+        !run.isHeldByLimit &&
+        run.owner.progress.outcome === undefined,
+      onAnswer(permits, decidedAt, waits) {
         const took = Math.round(clock.now() - requestedAt)
         const [asked, allowed] = [workers.length, permits?.length]
         log.info(
-          {event: "advice", step: run.name, queue: queue.name, asked, allowed, took},
+          {event: "advice", step: run.name, queue: queue.name, asked, allowed, took, ...waits},
           "call to the advice service ended",
         )
         applyAdvice(run, terms, workers, permits, decidedAt)
--- a/src/planner/state.ts
+++ b/src/planner/state.ts
@@ -5,6 +5,7 @@
 import type {Milliseconds} from "../core/clock.js"
 import type {Resources} from "../core/resources.js"
 import {add, NO_RESOURCES, subtract} from "../core/resources.js"
+import {ownerOf} from "../pipelines/callers.js"
 import {estimateMemory, maxOpenOccurrences} from "../pipelines/footprint.js"
 import type {PipelineJob, Step, TaskName, WorkerListing} from "../pipelines/model.js"
 import {formatTask} from "../pipelines/model.js"
@@ -42,6 +43,8 @@
   readonly comparedEnds: {readonly worker: WorkerState; readonly duration: Milliseconds}[]
   /** A call to the advice service is queued or in flight for the step. */
   isAwaitingAdvice: boolean
+  /** The limit of the workspace let no task of the step start when the step was last handled. */
+  isHeldByLimit: boolean
   /** No task of the step is started before this instant, after a failure. */
   retryAt: Milliseconds
   /** No tasks are preempted for this step before this instant. */
@@ -125,6 +128,8 @@
   readonly assignments: Map<string, Assignment>
   /** Number of unknown tasks that the worker runs: tasks that belong to no active job here. */
   unknownTaskCount: number
+  /** The jobs of these tasks. */
+  unknownJobs: ReadonlySet<string>
   /** Capacity that the assignments occupy. */
   used: Resources
   /** Every end of a run up to this number was handled. */
@@ -172,6 +177,7 @@
     isReachable: false,
     assignments: new Map(),
     unknownTaskCount: 0,
+    unknownJobs: new Set(),
     used: NO_RESOURCES,
     handledThrough: 0,
     handledOutOfOrder: new Set(),
@@ -199,6 +205,7 @@
     assignments: new Set(),
     comparedEnds: [],
     isAwaitingAdvice: false,
+    isHeldByLimit: false,
     retryAt: 0,
     preemptAt: 0,
     preemptionCount: 0,
@@ -219,9 +226,10 @@
   isInherited: boolean,
 ): ActiveJob {
   const completed = progress.completedOccurrences ?? 0
+  const owner = ownerOf(job)
   const active: ActiveJob = {
     job,
-    progress,
+    progress: owner === undefined ? progress : {...progress, owner},
     arrivedAt,
     isInherited,
     hasStarted: completed > 0 || Object.keys(progress.done).length > 0,
--- a/test/fleet/starting.test.ts
+++ b/test/fleet/starting.test.ts
@@ -158,7 +158,7 @@
     processors: 1,
     async requestAdvice() {
       await sleep(clock, 500)
-      return [{worker: "worker-1", ticket: "ticket"}]
+      return {permits: [{worker: "worker-1", ticket: "ticket"}], busyMs: 0, serviceMs: 30}
     },
   }
   const starter = createStarter({
--- a/test/support/passplay.ts
+++ b/test/support/passplay.ts
@@ -159,6 +159,7 @@
         workLimit: 400_000,
         queueOf: ({job}) => job.queue,
         mayStart: () => true,
+        workspaceUses: new Map(),
         awaitsListing: () => false,
         urgentPriorities: new Map([[QUEUE.service, QUEUE.priority]]),
         idleRequesters: 0,
