--- a/test/guards/guards.ts
+++ b/test/guards/guards.ts
@@ -1054,6 +1054,8 @@
     replace: "expectRunTime(job, run.stepIndex) ?? run.step.estimate;",
     test: "unit/waiting.test.js",
     match: "a leader that has just taken over*",
+  },
+  {
     name: "an instance that has had no confirmation for too long serves no key",
     file: "pipelines/callers.js",
     find: "const isConfirmed = age <= limits.serving;",
@@ -1108,6 +1110,8 @@
     replace: "progress",
     test: "fleet/withdrawal.test.js",
     match: "a job is seen and cancelled by its workspace alone*",
+  },
+  {
     name: "a workspace's tasks that a worker out of reach may run count under its limit",
     file: "planner/workspaceuse.js",
     find: "if (!sources.mayRunUnseen(active))",
