--- a/src/cli/daemon.ts
+++ b/src/cli/daemon.ts
@@ -65,6 +65,7 @@
       seeds: seedAddresses(settings),
       longestLease: settings.longestLease,
       withdrawalLimit: settings.withdrawalLimit,
+      remoteFactor: settings.remoteFactor,
     },
     {
       clock,
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -26,6 +26,7 @@
 import {createJobTable, INITIAL_PROGRESS} from "./jobtable.js"
 import type {ShownState} from "./jobtable.js"
 import type {WorkspaceUse} from "../pipelines/workspaceroom.js"
+import {isSlow} from "../pipelines/workerspeeds.js"
 import {findEarlierLeaders} from "./earlierleaders.js"
 import {createLeaderLoad} from "./leaderload.js"
 import type {LeaderBacklog} from "./leaderload.js"
@@ -37,6 +38,8 @@
 import {isUsable} from "./candidates.js"
 import {INITIAL_WORK_LIMIT, nextWorkLimit} from "./passbudget.js"
 import {pauseBeforePass} from "./passinterval.js"
+import {createLearnedRuns} from "./learnedruns.js"
+import {createNearWaits} from "./nearwaits.js"
 import {createPlanningPass} from "./planningpass.js"
 import {createShareLog} from "./sharelog.js"
 import {createStarter} from "./starting.js"
@@ -67,6 +70,8 @@
 export interface PlannerLimits {
   /** How long the lease of a worker's tasks lasts from each renewal. */
   readonly leaseDuration: Milliseconds
+  /** How many times as long a task takes on another rack than its data, or than the other tasks of its step. */
+  readonly remoteFactor: number
 }
 
 export interface PlannerPorts {
@@ -172,7 +177,9 @@
     onSuperseded: handleSuperseded,
   })
   const leaderLoad = createLeaderLoad(clock, log, term)
-  const planningPass = createPlanningPass(clock)
+  const learnedRuns = createLearnedRuns(clock, log, limits.remoteFactor)
+  const nearWaits = createNearWaits(clock, log, limits.remoteFactor, learnedRuns)
+  const planningPass = createPlanningPass(clock, nearWaits)
   const followers = createFollowers(clock)
   const barrier = createBarrier({
     clock,
@@ -257,6 +264,7 @@
     onChange: schedulePass,
     workRead: () => workRead,
     onReported: barrier.remove,
+    onDone: learnedRuns.recordDone,
     onFenced(worker) {
       log.info(
         {event: "worker-fenced", worker: worker.listing.id, term},
@@ -696,6 +704,9 @@
       held_steps: heldSteps,
       exceeding_workspaces: shareLog.count(),
       commits: ledger.commitCount(),
+      ...nearWaits.counts(),
+      run_times: learnedRuns.size(),
+      slow_workers: [...pool.workers.values()].filter(({speed}) => isSlow(speed)).length,
       ...leaderLoad.gauges(),
       ...workspaceUses.gauges(sumCapacity()),
     }),
--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -9,7 +9,8 @@
 import {BEYOND_SHARE} from "../pipelines/fairshare.js"
 import type {ShareRank} from "../pipelines/fairshare.js"
 import type {Queue} from "../pipelines/model.js"
-import {placeTasks} from "../pipelines/placing.js"
+import type {WorkerOption} from "../pipelines/placing.js"
+import {relativeSpeed} from "../pipelines/workerspeeds.js"
 import {freeOutsideReservation} from "../pipelines/reserving.js"
 import {
   countTasksByWorker,
@@ -23,6 +24,9 @@
 import {createWorkspaceRoom} from "../pipelines/workspaceroom.js"
 import type {HoldReason, WorkspaceRoom} from "../pipelines/workspaceroom.js"
 import {isTooLate} from "../pipelines/order.js"
+import {NO_NEAR_WAITS} from "./nearwaits.js"
+import type {NearWaits} from "./nearwaits.js"
+import {placeOrWait} from "./placeorwait.js"
 import {listUpcomingSteps, listOpenSteps, waitingTasksOf} from "./opensteps.js"
 import type {OpenStep, PassView} from "./opensteps.js"
 import {preempt} from "./preemption.js"
@@ -66,6 +70,7 @@
   readonly index: WorkerIndex
   readonly reserved: ReservedCapacity
   readonly budget: WorkBudget
+  readonly waits: NearWaits
   /** Searches for tasks to preempt, by queue. */
   readonly searches: Map<string, number>
   /** What workspaces may still start. */
@@ -123,9 +128,12 @@
 
 /** Starts those tasks of a step that can be placed now. */
 function placeStep(open: OpenStep, group: WorkerGroup, state: PassState): void {
-  const {view, actions, index, reserved, budget} = state
+  const {view, actions, index, reserved, budget, waits} = state
   const {run, queue} = open
   const {step} = run
+  const [usual] = group.workers
+  if (usual && waits.concerns(run) && limitStarts(open, reserved) > 0)
+    waits.recordTurn(run, usual.listing.capacity)
   if (needsAnswer(run, queue, view.now)) return
   const required = requiredCapacity(step)
   const allowedStarts = limitStarts(open, reserved)
@@ -140,23 +148,30 @@
   budget.spend(ready.length * PLACING_WORK)
   const affordableStarts = Math.max(1, Math.floor(budget.left() / (START_WORK + ready.length / 8)))
   const held = countTasksByWorker(run)
-  const options = ready.map(worker => {
+  function toOption(worker: WorkerState): WorkerOption {
     const option = toWorkerOption(
       worker,
       held.get(worker) ?? 0,
       index.occupancyOf(worker),
       reserved.contention,
     )
+    const {rack} = option
+    const pressure = step.preferredRack === rack ? 0 : waits.pressureOn(rack)
+    const contention = option.contention + pressure
     return withholds
-      ? {...option, free: freeOutsideReservation(option, reserved.reservations.get(option.id))}
-      : option
-  })
-  const chosen = placeTasks(
-    step,
-    step.gang ? allowedStarts : Math.min(allowedStarts, affordableStarts),
-    options,
-  )
+      ? {
+          ...option,
+          contention,
+          free: freeOutsideReservation(option, reserved.reservations.get(option.id)),
+        }
+      : {...option, contention}
+  }
+  const options = ready.map(toOption)
+  const wanted = step.gang ? allowedStarts : Math.min(allowedStarts, affordableStarts)
+  const chosen = placeOrWait(open, wanted, options, group, toOption, waits, budget)
   if (chosen.length === 0) {
+    // Others may start where a step that waits would not.
+    if (waits.isWaiting(run)) return
     if (withholds && !queue.advice && !step.gang && step.perWorker === 0)
       group.unmetOutsideReservations.add(required)
     return
@@ -181,7 +196,7 @@
   open: OpenStep,
   group: WorkerGroup,
   mayRequestEarly: boolean,
-  {view, actions, reserved, budget}: PassState,
+  {view, actions, reserved, budget, waits}: PassState,
 ): void {
   const {run, queue} = open
   const {step} = run
@@ -190,14 +205,21 @@
   if (!mayRequestEarly && step.gang && limitStarts(open, reserved) < run.waiting.size) return
   budget.spend(group.workers.length * PLACING_WORK)
   const held = countTasksByWorker(run)
+  const isNear = ({listing}: WorkerState): boolean =>
+    waits.concerns(run) && step.preferredRack !== "" && listing.rack === step.preferredRack
   const candidates = group.workers
     .filter(worker => run.policyVerdicts.get(worker.listing.id) !== false)
+    // A step that waits for its rack has no use for further tickets elsewhere.
+    .filter(worker => step.preferredRack === "" || !waits.isWaiting(run) || isNear(worker))
     .map(worker => ({
       id: worker.listing.id,
       free: freeCapacityOf(worker),
       held: held.get(worker) ?? 0,
       allowed: run.policyVerdicts.get(worker.listing.id) === true,
       hasTicket: hasTicket(run, worker, view.now),
+      isNear: isNear(worker),
+      // Long-running tasks have no end that a fast worker brings nearer.
+      speed: step.lasting || step.fills ? 1 : relativeSpeed(worker.speed),
     }))
   if (!mayRequestEarly && step.gang && !canStartTogether(step, run.waiting.size, candidates)) return
   const options: AdviceCandidate[] = candidates.filter(candidate => !candidate.hasTicket)
@@ -237,7 +259,10 @@
  * Creates a pass that can be run repeatedly. It remembers between runs the peak load of urgent work, and the steps that
  * were left for a later run.
  */
-export function createPlanningPass(clock: Pick<Clock, "now">): PlanningPass {
+export function createPlanningPass(
+  clock: Pick<Clock, "now">,
+  waits: NearWaits = NO_NEAR_WAITS,
+): PlanningPass {
   const reserver = createCapacityReserver()
   const turns = createStepTurns()
 
@@ -261,6 +286,7 @@
         index,
         reserved,
         budget,
+        waits,
         searches: new Map(),
         room,
         claimableRoom: room.copy(),
@@ -284,7 +310,7 @@
         const claimed = claimRoom(open, unplaced, state)
         if (claimed === 0) return
         const waiting = {...open, startable: claimed}
-        if (isUrgent) {
+        if (isUrgent && !waits.isWaiting(run)) {
           reserveForStep(waiting, group.workers, view.now, reserved, index, budget)
           preempt(waiting, group.workers, view, reserved, index, budget, state.searches, actions.preempt)
         }
@@ -312,6 +338,7 @@
           if (open.run.isAwaitingAdvice) idleRequesters -= 1
         }
       }
+      waits.endPass()
       const {heldSteps} = state
       return {
         heldSteps,
--- a/src/planner/reports.ts
+++ b/src/planner/reports.ts
@@ -7,6 +7,7 @@
 import type {TaskName} from "../pipelines/model.js"
 import {parseTask} from "../pipelines/model.js"
 import {isDone} from "../pipelines/progress.js"
+import {TYPICAL_SPEED} from "../pipelines/workerspeeds.js"
 import type {EndedTask, RunningTask, WorkerReport} from "../pipelines/ports.js"
 import type {Confirmation} from "./confirmation.js"
 import type {JobTable} from "./jobtable.js"
@@ -40,6 +41,8 @@
   readonly onChange: () => void
   /** The latest read of the stored jobs whose answer has come. */
   readonly workRead: () => WorkRead
+  /** Called when a run that is assigned here has ended well. */
+  readonly onDone: (assignment: Assignment) => void
   /** Called when a worker has answered for the first time in this term. */
   readonly onFenced: (worker: WorkerState) => void
   /** Called when a worker has for the first time listed all that it ran for earlier leaders. */
@@ -127,6 +130,8 @@
     // Requests meant for the earlier incarnation do not reach this one, but an earlier leader may have found it first.
     worker.deadline = report.clock + leaseDuration
     storing.delete(worker)
+    // It may be of another kind than before.
+    worker.speed = TYPICAL_SPEED
     for (const assignment of [...worker.assignments.values()]) {
       if (assignment.confirmedAt === undefined) linkOf(worker)?.stop(assignment)
       // A start confirmed later may be one of this incarnation; the next report shows it.
@@ -167,6 +172,7 @@
       "a run of a task has ended",
     )
     updateFailureRate(worker, ended)
+    if (ended.end === "done" && assignment) context.onDone(assignment)
     if (ended.checkpoint !== "") run.checkpoints.set(run.step.gang ? 0 : name.index, ended.checkpoint)
     const counter = run.step.gang ? 0 : name.index
     run.latestAttempts.set(counter, Math.max(ended.attempt, run.latestAttempts.get(counter) ?? 0))
@@ -204,6 +210,7 @@
       const assignment = assign(run, name.index, running.attempt, worker, clock.now())
       assignment.phase = "running"
       assignment.confirmedAt = clock.now()
+      assignment.hasEarlierWork = true
       // The speed that the earlier leader allowed is not known.
       if (run.step.fills) assignment.speedPercent = 0
       run.owner.hasStarted = true
--- a/src/planner/state.ts
+++ b/src/planner/state.ts
@@ -10,6 +10,8 @@
 import type {PipelineJob, Step, TaskName, WorkerListing} from "../pipelines/model.js"
 import {formatTask} from "../pipelines/model.js"
 import type {Progress} from "../pipelines/progress.js"
+import {TYPICAL_SPEED} from "../pipelines/workerspeeds.js"
+import type {LearnedSpeed} from "../pipelines/workerspeeds.js"
 import {highestFailedAttempt, isDone, isOccurrenceDone} from "../pipelines/progress.js"
 
 /** Permission of the advice service to run a step on one worker, presented to the worker with each start. */
@@ -37,6 +39,8 @@
   /** Whether the advice service allows the step, by worker. A verdict never changes. */
   readonly policyVerdicts: Map<string, boolean>
   readonly assignments: Set<Assignment>
+  /** Ends of tasks that are compared once all have ended, from which the speeds of workers are learned. */
+  readonly comparedEnds: {readonly worker: WorkerState; readonly duration: Milliseconds}[]
   /** A call to the advice service is queued or in flight for the step. */
   isAwaitingAdvice: boolean
   /** The limit of the workspace let no task of the step start when the step was last handled. */
@@ -93,6 +97,8 @@
   gauge: number
   /** As last reported: how much of the task is done. */
   progressPercent: number
+  /** Part of the work was done before `assignedAt`: the run was taken over, or has resumed from a checkpoint. */
+  hasEarlierWork: boolean
 }
 
 /** A reading of a worker's clock, with the time at which it was received on this leader's clock. */
@@ -138,6 +144,8 @@
   failureWeight: number
   /** Number of recent runs that succeeded, decayed exponentially. */
   successWeight: number
+  /** Learned from the tasks that it has run. */
+  speed: LearnedSpeed
   /** The link to the worker was closed. */
   isClosed: boolean
 }
@@ -177,6 +185,7 @@
     avoidUntil: 0,
     failureWeight: 0,
     successWeight: 0,
+    speed: TYPICAL_SPEED,
     isClosed: false,
   }
 }
@@ -194,6 +203,7 @@
     tickets: new Map(),
     policyVerdicts: new Map(),
     assignments: new Set(),
+    comparedEnds: [],
     isAwaitingAdvice: false,
     isHeldByLimit: false,
     retryAt: 0,
@@ -303,6 +313,7 @@
     speedPercent: 100,
     gauge: 0,
     progressPercent: 0,
+    hasEarlierWork: false,
   }
   run.waiting.delete(index)
   run.assignments.add(assignment)
