--- a/src/pipelines/fairshare.ts
+++ b/src/pipelines/fairshare.ts
@@ -5,7 +5,7 @@
  * may have the same share of its dominant resource, relative to its weight, and what one does not want is the others'.
  */
 import type {Resources} from "../core/resources.js"
-import {add, NO_RESOURCES, weightedShare} from "../core/resources.js"
+import {add, isNothing, NO_RESOURCES, weightedShare} from "../core/resources.js"
 
 /** What one workspace uses and wants of a service. */
 export interface Claim {
@@ -73,14 +73,14 @@
   return weightedShare(wanted, whole, weight) > level * USUAL_SHARES
 }
 
-/** True if the workspace uses more than its fair share. */
-export function isBeyondShare({used, weight}: Claim, level: number, whole: Resources): boolean {
-  return weightedShare(used, whole, weight) > level
+/** True if a workspace that uses so much has its fair share. */
+export function hasItsShare(used: Resources, weight: number, level: number, whole: Resources): boolean {
+  return weightedShare(used, whole, weight) >= level - ROUNDING_TOLERANCE
 }
 
 /** Where tasks stand in relation to the fair share of their workspace. Lower ranks come first. */
 export const WITHIN_SHARE = 0
-/** The task, or gang, that begins within the share and exceeds it. A share may be smaller than any task. */
+/** The task, or gang, that begins within the share and exceeds it. */
 export const CROSSING_SHARE = 1
 export const BEYOND_SHARE = 2
 export type ShareRank = typeof WITHIN_SHARE | typeof CROSSING_SHARE | typeof BEYOND_SHARE
@@ -97,6 +97,11 @@
   level: number,
   whole: Resources,
 ): RankCounts {
+  // Nobody waits for the first task, which may be larger than the share.
+  if (count > 0 && isNothing(used)) {
+    const rest = rankTasks(count - 1, demand, demand, weight, level, whole)
+    return {...rest, [WITHIN_SHARE]: rest[WITHIN_SHARE] + 1}
+  }
   let within = count
   let hasRoom = true
   for (const dimension of DIMENSIONS) {
--- a/src/planner/stepsharing.ts
+++ b/src/planner/stepsharing.ts
@@ -5,12 +5,12 @@
  * rank before the rest of the step.
  */
 import type {Resources} from "../core/resources.js"
-import {add, dominantShare, NO_RESOURCES, scale} from "../core/resources.js"
+import {add, dominantShare, NO_RESOURCES, scale, subtract} from "../core/resources.js"
 import {
   BEYOND_SHARE,
   CROSSING_SHARE,
   fairLevel,
-  isBeyondShare,
+  hasItsShare,
   rankTasks,
   wantsTooMuch,
   WITHIN_SHARE,
@@ -38,7 +38,7 @@
 export interface StepShares {
   /** The steps in their new order. One whose tasks have different ranks is listed once for each. */
   readonly steps: readonly OpenStep[]
-  /** The rank of the running tasks of a step. */
+  /** The rank of a running task of a step, or of its gang. */
   readonly shareRankOf: (run: StepRun, queue: Queue) => ShareRank
   readonly exceeded: readonly ExceededShare[]
 }
@@ -58,9 +58,7 @@
   readonly level: number
   readonly whole: Resources
   /** What the workspaces that want far more than their share use for steps up to the priority. */
-  readonly used: Map<string, Resources>
-  /** Those of them that use more than their share already. */
-  readonly beyond: ReadonlySet<string>
+  readonly used: ReadonlyMap<string, Resources>
   readonly exceeded: readonly ExceededShare[]
 }
 
@@ -142,12 +140,10 @@
       const level = fairLevel(claims, available, whole)
       const tooMuch = claims.filter(claim => wantsTooMuch(claim, level, whole))
       if (tooMuch.length === 0) continue
-      const beyond = tooMuch.filter(claim => isBeyondShare(claim, level, whole))
       scarce.set(priority, {
         level,
         whole,
         used: new Map(tooMuch.map(({workspace, used}) => [workspace, used])),
-        beyond: new Set(beyond.map(({workspace}) => workspace)),
         exceeded: tooMuch.map(({workspace, weight, used, wanted}) => ({
           service,
           priority,
@@ -180,18 +176,24 @@
   const levels = computeLevels(wanted, view, pool, weightOf)
   if (levels.size === 0) return {steps, shareRankOf: () => WITHIN_SHARE, exceeded: []}
 
+  /** What a workspace uses together with its waiting tasks that were ranked so far, as far as they may start. */
+  const claimed = new Map<ServicePriority, Map<string, Resources>>()
+
   /** Divides the step into parts of equal rank. A gang has the rank of all of its tasks. */
   function divide(open: OpenStep): readonly OpenStep[] {
     const {run, queue, rank, startable} = open
     const shares = levels.get(queue.service)?.get(queue.priority)
     const workspace = run.owner.job.workspace ?? NO_WORKSPACE
-    const used = shares?.used.get(workspace)
-    if (!shares || !used) return [open]
+    const running = shares?.used.get(workspace)
+    if (!shares || !running) return [open]
+    const claims = claimed.get(shares) ?? new Map<string, Resources>()
+    claimed.set(shares, claims)
+    const used = claims.get(workspace) ?? running
     const size = run.step.gang ? startable : 1
     const demand = scale(requiredCapacity(run.step), size)
     const units = startable / size
     const counts = rankTasks(units, demand, used, weightOf(workspace), shares.level, shares.whole)
-    shares.used.set(workspace, add(used, scale(demand, units - counts[BEYOND_SHARE])))
+    claims.set(workspace, add(used, scale(demand, units - counts[BEYOND_SHARE])))
     return ([WITHIN_SHARE, CROSSING_SHARE, BEYOND_SHARE] as const)
       .filter(shareRank => counts[shareRank] > 0)
       .map(shareRank => ({...open, startable: counts[shareRank] * size, rank: {...rank, shareRank}}))
@@ -199,10 +201,14 @@
 
   return {
     steps: steps.flatMap(divide).sort((one, other) => compareWaitingSteps(one.rank, other.rank, view.now)),
-    shareRankOf({owner}, {service, priority}) {
+    shareRankOf({owner, step}, {service, priority}) {
       const {workspace = NO_WORKSPACE} = owner.job
-      const isBeyond = levels.get(service)?.get(priority)?.beyond.has(workspace) ?? false
-      return isBeyond ? BEYOND_SHARE : WITHIN_SHARE
+      const shares = levels.get(service)?.get(priority)
+      const used = shares?.used.get(workspace)
+      if (!shares || !used) return WITHIN_SHARE
+      // Without the task, or the gang, the workspace must still have its share.
+      const left = subtract(used, scale(requiredCapacity(step), step.gang ? step.count : 1))
+      return hasItsShare(left, weightOf(workspace), shares.level, shares.whole) ? BEYOND_SHARE : WITHIN_SHARE
     },
     exceeded: [...levels.values()].flatMap(scarce => [...scarce.values()].flatMap(({exceeded}) => exceeded)),
   }
--- a/test/unit/workspaces.test.ts
+++ b/test/unit/workspaces.test.ts
@@ -222,3 +222,41 @@
   const {asked} = runPass(waiting, workers, new Map([["north", use(resources(2))]]))
   t.is(asked.length, 2)
 })
+
+test("a running task is stopped for another workspace only if its own still has its share without it", t => {
+  /** Its work is due after that of the running tasks. */
+  const patient = {...QUEUE, latencyTarget: 1e6}
+  const preemptingWith = (northWaits: number): readonly string[] => {
+    const workers = usableWorkers(4)
+    const long = {demand: resources(8), checkpointing: true, estimate: 90_000}
+    const north = jobIn("north", 1, {...long, count: 4 + northWaits})
+    north.stepRuns.forEach(run =>
+      workers.forEach((worker, index) => {
+        assign(run, index, 1, worker, 0).phase = "running"
+      }),
+    )
+    const south = jobIn("south", 2, {demand: resources(8)}, patient)
+    const unlimited = use(NO_RESOURCES)
+    const uses = new Map([
+      ["north", unlimited],
+      ["south", unlimited],
+      ["east", unlimited],
+    ])
+    return runPass([north, south], workers, uses).preempting
+  }
+  t.deepEqual(preemptingWith(100), ["south"])
+  t.deepEqual(preemptingWith(0), [], "without far too much work of the other, due times decide")
+  const workers = usableWorkers(1)
+  const gang = {demand: resources(4), checkpointing: true, estimate: 90_000, gang: true, count: 2}
+  const [north, south] = [jobIn("north", 1, gang), jobIn("south", 2, {...gang, estimate: 500}, patient)]
+  north.stepRuns.forEach(run =>
+    [0, 1].forEach(index => {
+      assign(run, index, 1, workers[0] ?? createWorker(listingOf("x"), true, 0), 0).phase = "running"
+    }),
+  )
+  const uses = new Map([
+    ["north", {...use(NO_RESOURCES), weight: 0.1}],
+    ["south", use(NO_RESOURCES)],
+  ])
+  t.deepEqual(runPass([north, south], workers, uses).preempting, [], "the only gang of a small workspace")
+})
