--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -87,7 +87,7 @@
   const limited: OpenStep[] = []
   for (const open of steps) {
     const tasks = waitingTasksOf(open.run)
-    const startable = room.countStartable(tasks)
+    const startable = Math.min(open.startable, room.countStartable(tasks))
     if (startable === 0) continue
     room.occupy(tasks, startable)
     limited.push({...open, startable})
