--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -71,6 +71,7 @@
 const FINISH_MS: Milliseconds = 14_000
 /** Each task of the soak's jobs needs one. */
 const WORKER_PROCESSORS = 8
+const LIMIT_A_WORKER = 2
 
 /** Ports below those that the system gives to connections; each soak has a loopback address of its own. */
 const [CALLER_PORT, STATUS_PORT, PEER_PORT] = [7100, 7200, 7300]
@@ -94,7 +95,12 @@
   })
 }
 
-function configurationText(version: number, keys: readonly string[]): string {
+/** The workspace may use few processors of a fleet under faults, so that its limit is often reached, and half in a burst. */
+function limitOf({workers, burst}: SoakOptions): number {
+  return burst > 0 ? (workers * WORKER_PROCESSORS) / 2 : workers * LIMIT_A_WORKER
+}
+
+function configurationText(version: number, keys: readonly string[], limit: number): string {
   const queue = {Host: "soak.example", Service: "crease", Attempts: 3, SlackFactor: 1.5, TargetLatencyMs: 250}
   return JSON.stringify({
     Version: version,
@@ -103,7 +109,7 @@
       {...queue, Name: "versioned", Prefix: `/version-${version}/`, Priority: 1},
     ],
     Services: [{Name: "crease"}],
-    Tenants: [{Name: "soak", ApiKeys: keys}],
+    Tenants: [{Name: "soak", ApiKeys: keys, MaxCount: {Cpu: limit * 1000, MemMb: 0, Gpu: 0}}],
     Limits: {MaxBodyBytes: 100_000},
   })
 }
@@ -228,6 +234,7 @@
     after: (delay, callback) => system.after(delay, () => (closed ? undefined : callback())),
   }
   const faults: string[] = []
+  const limit = limitOf(options)
   const store = fakeStore(clock)
   const workers: FakeWorkers = fakeWorkers(clock, task => {
     const [job = "", , step = ""] = task.split(".")
@@ -237,6 +244,7 @@
       if (!workers.doneTasks().has(`${job}.0.${before}.${index}`))
         faults.push(`${task} began before its turn`)
     }
+    if (workers.running().length + 1 > limit) faults.push(`${task} began above the limit of its workspace`)
     return {demand: STEP.demand, duration: 100 + random.below(700)}
   })
 
@@ -260,7 +268,7 @@
   let version = 0
   const configure = (): void => {
     version += 1 + random.below(3)
-    store.put("op/config", configurationText(version, keys.replace()))
+    store.put("op/config", configurationText(version, keys.replace(), limit))
   }
   configure()
 
@@ -300,7 +308,7 @@
   const links = {storeLinks, workerLinks}
   const world = {random, store, workers, workerNames, crash, restart, instances, ...links, configure}
   const injected: string[] = []
-  const waits = watchWaits(workers, callers, options.workers * WORKER_PROCESSORS, faults)
+  const waits = watchWaits(workers, callers, limit, faults)
   try {
     for (const instance of instances) instance.start()
     await pause(1500)
