--- a/test/fleet/reports.test.ts
+++ b/test/fleet/reports.test.ts
@@ -3,6 +3,7 @@
 import {virtualClock} from "../../src/core/virtualclock.js"
 import {SILENT_LOGGER} from "../../src/core/logger.js"
 import type {EndedTask, RunningTask} from "../../src/pipelines/ports.js"
+import {TYPICAL_SPEED} from "../../src/pipelines/workerspeeds.js"
 import {NO_PROGRESS} from "../../src/pipelines/progress.js"
 import {createJobTable} from "../../src/planner/jobtable.js"
 import {createLedger} from "../../src/planner/ledger.js"
@@ -301,3 +302,13 @@
   t.is(other.assignments.size, 1)
   t.false(reader.isAwaitingReport(job.id))
 })
+
+test("what was learned of a worker's speed ends with its life", async t => {
+  const {worker, report} = setUp()
+  await report([], [])
+  worker.speed = {log: -1, ends: 9}
+  await report([], [])
+  t.is(worker.speed.ends, 9)
+  await report([], [], 6)
+  t.is(worker.speed, TYPICAL_SPEED, "it may be of another kind")
+})
