--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -41,6 +41,7 @@
 import {createLearnedRuns} from "./learnedruns.js"
 import {createNearWaits} from "./nearwaits.js"
 import {createPlanningPass} from "./planningpass.js"
+import {createShareLog} from "./sharelog.js"
 import {createStarter} from "./starting.js"
 import {createQueueServices} from "./queueservices.js"
 import {readStoredWork} from "./storedwork.js"
@@ -196,6 +197,7 @@
   const workspaceUses = createWorkspaceUses()
   const endedRuns = createEndedRuns()
   const holdLog = createHoldLog(clock, log)
+  const shareLog = createShareLog(clock, log)
 
   function findQueue(name: string): Queue | undefined {
     return configuration()?.queues.find(queue => queue.name === name)
@@ -435,6 +437,7 @@
     )
     if (queueServices.needsRecording()) writeTerm(followers.current())
     holdLog.record(result.heldSteps, uses)
+    shareLog.record(result.exceededShares)
     openSteps = result.openSteps
     heldSteps = result.heldSteps.length
     lastPassDuration = clock.now() - passStartedAt
@@ -699,6 +702,7 @@
       relays: relays.countRelays(),
       passes,
       held_steps: heldSteps,
+      exceeding_workspaces: shareLog.count(),
       commits: ledger.commitCount(),
       ...nearWaits.counts(),
       run_times: learnedRuns.size(),
--- a/src/planner/stepsharing.ts
+++ b/src/planner/stepsharing.ts
@@ -5,13 +5,14 @@
  * rank before the rest of the step.
  */
 import type {Resources} from "../core/resources.js"
-import {add, NO_RESOURCES, scale} from "../core/resources.js"
+import {add, dominantShare, NO_RESOURCES, scale} from "../core/resources.js"
 import {
   BEYOND_SHARE,
   CROSSING_SHARE,
   fairLevel,
   isBeyondShare,
   rankTasks,
+  wantsTooMuch,
   WITHIN_SHARE,
 } from "../pipelines/fairshare.js"
 import type {ShareRank} from "../pipelines/fairshare.js"
@@ -23,11 +24,23 @@
 import type {StepRun, WorkerState} from "./state.js"
 import {requiredCapacity} from "./state.js"
 
+/** A workspace that wants far more than its share of what the steps up to a priority may have of a service. */
+export interface ExceededShare {
+  readonly service: string
+  readonly priority: number
+  readonly workspace: string
+  /** Parts of its dominant resource: its fair share, what it uses and what it wants. */
+  readonly share: number
+  readonly used: number
+  readonly wanted: number
+}
+
 export interface StepShares {
   /** The steps in their new order. One whose tasks have different ranks is listed once for each. */
   readonly steps: readonly OpenStep[]
   /** The rank of the running tasks of a step. */
   readonly shareRankOf: (run: StepRun, queue: Queue) => ShareRank
+  readonly exceeded: readonly ExceededShare[]
 }
 
 /** Jobs without a workspace share as one with an average weight. */
@@ -44,8 +57,11 @@
 interface ServicePriority {
   readonly level: number
   readonly whole: Resources
-  /** By workspace, what its steps up to the priority use. */
+  /** What the workspaces that want far more than their share use for steps up to the priority. */
   readonly used: Map<string, Resources>
+  /** Those of them that use more than their share already. */
+  readonly beyond: ReadonlySet<string>
+  readonly exceeded: readonly ExceededShare[]
 }
 
 function usageOf(usages: PriorityUsage, workspace: string): Usage {
@@ -116,15 +132,31 @@
         sum.waiting = add(sum.waiting, waiting)
       }
       const claims = [...upTo].map(([workspace, {used, waiting}]) => ({
+        workspace,
         weight: weightOf(workspace),
         used,
         wanted: add(used, waiting),
       }))
       const available = claims.reduce((sum, claim) => add(sum, claim.used), capacity.free)
-      const level = fairLevel(claims, available, capacity.whole)
-      if (level === Infinity) continue
-      const used = new Map([...upTo].map(([workspace, usage]) => [workspace, usage.used]))
-      scarce.set(priority, {level, whole: capacity.whole, used})
+      const {whole} = capacity
+      const level = fairLevel(claims, available, whole)
+      const tooMuch = claims.filter(claim => wantsTooMuch(claim, level, whole))
+      if (tooMuch.length === 0) continue
+      const beyond = tooMuch.filter(claim => isBeyondShare(claim, level, whole))
+      scarce.set(priority, {
+        level,
+        whole,
+        used: new Map(tooMuch.map(({workspace, used}) => [workspace, used])),
+        beyond: new Set(beyond.map(({workspace}) => workspace)),
+        exceeded: tooMuch.map(({workspace, weight, used, wanted}) => ({
+          service,
+          priority,
+          workspace,
+          share: level * weight,
+          used: dominantShare(used, whole),
+          wanted: dominantShare(wanted, whole),
+        })),
+      })
     }
     if (scarce.size > 0) levels.set(service, scarce)
   }
@@ -142,19 +174,19 @@
   pool: readonly WorkerState[],
 ): StepShares {
   const {workspaceUses: uses} = view
-  if (uses.size === 0) return {steps, shareRankOf: () => WITHIN_SHARE}
+  if (uses.size === 0) return {steps, shareRankOf: () => WITHIN_SHARE, exceeded: []}
   const average = averageWeight(uses)
   const weightOf = (workspace: string): number => uses.get(workspace)?.weight ?? average
   const levels = computeLevels(wanted, view, pool, weightOf)
-  if (levels.size === 0) return {steps, shareRankOf: () => WITHIN_SHARE}
+  if (levels.size === 0) return {steps, shareRankOf: () => WITHIN_SHARE, exceeded: []}
 
   /** Divides the step into parts of equal rank. A gang has the rank of all of its tasks. */
   function divide(open: OpenStep): readonly OpenStep[] {
     const {run, queue, rank, startable} = open
     const shares = levels.get(queue.service)?.get(queue.priority)
-    if (!shares) return [open]
     const workspace = run.owner.job.workspace ?? NO_WORKSPACE
-    const used = shares.used.get(workspace) ?? NO_RESOURCES
+    const used = shares?.used.get(workspace)
+    if (!shares || !used) return [open]
     const size = run.step.gang ? startable : 1
     const demand = scale(requiredCapacity(run.step), size)
     const units = startable / size
@@ -165,17 +197,13 @@
       .map(shareRank => ({...open, startable: counts[shareRank] * size, rank: {...rank, shareRank}}))
   }
 
-  const beyondRunning = new Set<string>()
-  for (const [service, priorities] of levels)
-    for (const [priority, {level, whole, used}] of priorities)
-      for (const [workspace, amount] of used)
-        if (isBeyondShare(amount, weightOf(workspace), level, whole))
-          beyondRunning.add(`${service}|${priority}|${workspace}`)
   return {
     steps: steps.flatMap(divide).sort((one, other) => compareWaitingSteps(one.rank, other.rank, view.now)),
     shareRankOf({owner}, {service, priority}) {
       const {workspace = NO_WORKSPACE} = owner.job
-      return beyondRunning.has(`${service}|${priority}|${workspace}`) ? BEYOND_SHARE : WITHIN_SHARE
+      const isBeyond = levels.get(service)?.get(priority)?.beyond.has(workspace) ?? false
+      return isBeyond ? BEYOND_SHARE : WITHIN_SHARE
     },
+    exceeded: [...levels.values()].flatMap(scarce => [...scarce.values()].flatMap(({exceeded}) => exceeded)),
   }
 }
--- a/test/guards/guards.ts
+++ b/test/guards/guards.ts
@@ -15,6 +15,7 @@
 const OWNERSHIP = "failures/ownership.test.js"
 const ANSWERS = "requests/answers.test.js"
 const FLEET_FAILURES = "fleet/failures.test.js"
+const LIMITS = "fleet/limits.test.js"
 const LASTING = "fleet/lasting.test.js"
 
 export const GUARDS: readonly Guard[] = [
@@ -423,7 +424,7 @@
   {
     name: "a failed advice call is retried",
     file: "planner/advicedispatcher.js",
-    find: "clock.after(AVOID_AFTER_FAILURE_MS, dispatch);",
+    find: "clock.after(span, dispatch);",
     replace: "",
     test: "fleet/adviser.test.js",
     match: "a call that failed everywhere*",
@@ -623,7 +624,7 @@
   {
     name: "an instance reads the configuration itself when nobody has confirmed it for some time",
     file: "planner/configurationupdater.js",
-    find: "age() > MAX_AGE_MS",
+    find: "age() > maxAge",
     replace: "false",
     test: "fleet/configuration.test.js",
     match: "a configuration is in force everywhere*",
@@ -848,10 +849,10 @@
   {
     name: "an answer to a watch proves nothing about the time after the store gave it",
     file: "planner/configurationupdater.js",
-    find: "confirm(Math.min(clock.now(), sentAt + WATCH_MS));",
-    replace: "confirm(clock.now());",
+    find: "isReadable = holder.onChanges(changes) ?? isReadable;",
+    replace: "isReadable = holder.onChanges(changes) ?? isReadable; sentAt = clock.now();",
     test: "fleet/configuration.test.js",
-    match: "a leader that reads an answer late*",
+    match: "an instance that reads an answer late*",
   },
   {
     name: "the time to list a backlog does not count as time to handle it",
@@ -985,7 +986,7 @@
   {
     name: "a job that is not stored is kept from being stored before it is answered as unknown to a cancelling",
     file: "planner/intake.js",
-    find: "return withdraw(job);",
+    find: "return withdraw(job, caller);",
     replace: 'return "unknown-job";',
     test: "fleet/cancellation.test.js",
     match: "a submission that comes after its job's cancelling*",
@@ -1054,4 +1055,100 @@
     test: "unit/waiting.test.js",
     match: "a leader that has just taken over*",
   },
+  {
+    name: "an instance that has had no confirmation for too long serves no key",
+    file: "pipelines/callers.js",
+    find: "const isConfirmed = age <= limits.serving;",
+    replace: "const isConfirmed = true;",
+    test: "fleet/withdrawal.test.js",
+    match: "an instance that is cut off*",
+  },
+  {
+    name: "the leader's age is added to that of its followers",
+    file: "planner/configurationupdater.js",
+    find: "confirm(sentAt - leaderAge);",
+    replace: "confirm(sentAt);",
+    test: "fleet/withdrawal.test.js",
+    match: "a leader that is cut off*",
+  },
+  {
+    name: "a leader's answer confirms from when the ping was sent",
+    file: "planner/configurationupdater.js",
+    find: "confirm(sentAt - leaderAge);",
+    replace: "confirm(clock.now() - leaderAge);",
+    test: "fleet/withdrawal.test.js",
+    match: "an instance that was stopped*",
+  },
+  {
+    name: "a suspension that only the time of day shows counts into the age",
+    file: "planner/configurationupdater.js",
+    find: "return elapsed.since(confirmedAt);",
+    replace: "return clock.now() - confirmedAt;",
+    test: "fleet/configuration.test.js",
+    match: "the age counts a suspension*",
+  },
+  {
+    name: "a configuration that cannot be read confirms nothing",
+    file: "planner/configurationupdater.js",
+    find: "if (holder.onList(result.value ? [result.value] : []))",
+    replace: "holder.onList(result.value ? [result.value] : []);",
+    test: "fleet/configuration.test.js",
+    match: "a configuration that cannot be read*",
+  },
+  {
+    name: "the key of a stored job is checked again before the answer",
+    file: "platform/frontend.js",
+    find: 'return type === "allowed" ? { status: 200, body: {} }',
+    replace: "return type ? { status: 200, body: {} }",
+    test: "platform/keys.test.js",
+    match: "a key that is withdrawn while a call is in hand*",
+  },
+  {
+    name: "a job is shown to its workspace alone, also after its end",
+    file: "planner/state.js",
+    find: "owner === undefined ? progress : { ...progress, owner }",
+    replace: "progress",
+    test: "fleet/withdrawal.test.js",
+    match: "a job is seen and cancelled by its workspace alone*",
+  },
+  {
+    name: "a workspace's tasks that a worker out of reach may run count under its limit",
+    file: "planner/workspaceuse.js",
+    find: "if (!sources.mayRunUnseen(active))",
+    replace: "if (true)",
+    test: LIMITS,
+    match: "the limit is kept through a takeover*",
+  },
+  {
+    name: "a workspace's runs count under its limit for a leader that knows only the outcome of their job",
+    file: "planner/planner.js",
+    find: "if (record?.remaining)",
+    replace: "if (false)",
+    test: LIMITS,
+    match: "the runs of a job that was cancelled under an earlier leader*",
+  },
+  {
+    name: "a workspace's runs count under its limit while a start order has no answer",
+    file: "planner/workspaceuse.js",
+    find: "add(sum, scale(step.demand, assignments.size))",
+    replace: "add(sum, scale(step.demand, [...assignments].filter(one => one.confirmedAt).length))",
+    test: LIMITS,
+    match: "orders that workers carry out late*",
+  },
+  {
+    name: "a workspace that wants far more than its share goes behind others",
+    file: "planner/stepsharing.js",
+    find: "if (uses.size === 0)",
+    replace: "if (true)",
+    test: "unit/fairshare.test.js",
+    match: "one workspace that sends seven times its usual*",
+  },
+  {
+    name: "a workspace cannot take another's part of the memory for accepted jobs",
+    file: "planner/acceptedmemory.js",
+    find: "workspaces.length === 0 ||",
+    replace: "true ||",
+    test: "fleet/schedules.test.js",
+    match: "a workspace that hands in more*",
+  },
 ]
