Tests: clients outside the limits press both frontends as processes

These tests start the daemon and an entry instance on a machine of 160 MiB, 640 descriptors (200 of them reserved) and a heap of 80 MiB, bring a crowd of 100 to 700 clients, and check that the process lives, that its peak memory (VmHWM) and descriptors stay within the machine, and that an ordinary caller gets answers beside and after the crowd. Crowds and bounds are fixed with this commit, before the product changes. The settings [limits] memory and descriptors of an entry instance are read and not used yet.

--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -5,7 +5,7 @@
 import {readFileSync} from "node:fs"
 import {err, ok} from "neverthrow"
 import type {Result} from "neverthrow"
-import {address, duration, fieldReader, integer, list, oneOf, text} from "../core/fields.js"
+import {address, decimal, duration, fieldReader, integer, list, oneOf, text} from "../core/fields.js"
 import type {FieldReader} from "../core/fields.js"
 import type {Finding} from "../core/finding.js"
 import type {Milliseconds} from "../core/clock.js"
@@ -36,6 +36,10 @@
   readonly successors: number
   /** Longest time that open requests of callers may take when the instance stops. */
   readonly drainLimit: Milliseconds
+  /** Memory that the process may take, in MiB; 0 if it is not known. */
+  readonly memoryMebibytes: number
+  /** File descriptors that the process may open; 0 if it is not known. */
+  readonly descriptors: number
   readonly callerTls: TlsFiles | undefined
   readonly peerTls: TlsFiles | undefined
   /** Secret that operator calls must present. */
@@ -46,6 +50,7 @@
 }
 
 const MINIMUM_OPERATOR_KEY_LENGTH = 16
+const MAX_AMOUNT = 1e9
 
 function readTls(fields: FieldReader, section: string, needsAuthority: boolean): TlsFiles | undefined {
   const mode = fields.optional(section, "tls", oneOf("on", "off"), "off")
@@ -94,11 +99,22 @@
     instanceListAddress: fields.required("platform", "instance_list", address, ""),
     successors: fields.optional("instance", "successors", integer(0, 3), 2),
     drainLimit: fields.optional("instance", "drain_limit", duration, 30_000),
+    memoryMebibytes: fields.optional("limits", "memory", decimal(0, MAX_AMOUNT), 0),
+    descriptors: fields.optional("limits", "descriptors", decimal(0, MAX_AMOUNT), 0),
     operatorKey: readOperatorKey(fields),
     logLevel: fields.optional("logs", "level", oneOf("debug", "info", "warn", "error"), "info"),
     metricsAddress: fields.optional("metrics", "address", address, ""),
   }
-  const knownSections = new Set(["instance", "callers", "peers", "platform", "operators", "logs", "metrics"])
+  const knownSections = new Set([
+    "instance",
+    "callers",
+    "peers",
+    "platform",
+    "limits",
+    "operators",
+    "logs",
+    "metrics",
+  ])
   for (const section of ini.sections.keys()) {
     if (knownSections.has(section)) fields.rejectUnread(section)
     else
--- /dev/null
+++ b/test/clients/crowds.ts
@@ -0,0 +1,70 @@
+/** The crowds that both frontends are tested with, and the machine on which they must hold. */
+import {announced, chunked, pipelined, unfinishedHead} from "./crowd.js"
+import type {Script} from "./crowd.js"
+import type {Machine} from "./watchedprocess.js"
+
+/** Smaller than any machine of a deployment, so that small crowds suffice. */
+export const MACHINE: Machine = {memoryMebibytes: 160, descriptors: 640, heapMebibytes: 80}
+
+/** The limit on a body in the configurations of the tests, which is also the usual one. */
+export const BODY_LIMIT = 262_144
+const MEBIBYTE = 2 ** 20
+const PIPELINED_BYTES = 4 * MEBIBYTE
+const EXCESSIVE_BYTES = 16 * MEBIBYTE
+const ANNOUNCED_BYTES = 1024 * MEBIBYTE
+const LARGE_CHUNK_BYTES = 16_384
+const SMALL_BODY_BYTES = BODY_LIMIT - LARGE_CHUNK_BYTES
+
+export interface CrowdCase {
+  readonly title: string
+  readonly size: number
+  readonly script: Script
+}
+
+/** Where a frontend takes a request with a body, and one without. */
+export interface Paths {
+  readonly host: string
+  readonly withBody: string
+  readonly plain: string
+}
+
+export function crowdCases({host, withBody, plain}: Paths): readonly CrowdCase[] {
+  return [
+    {
+      title: "requests sent ahead, their answers unread",
+      size: 100,
+      script: pipelined(plain, host, PIPELINED_BYTES),
+    },
+    {
+      title: "requests sent ahead without a host, their answers unread",
+      size: 100,
+      script: pipelined("/", undefined, PIPELINED_BYTES),
+    },
+    {
+      title: "bodies in chunks of one byte that stop short of their end",
+      size: 100,
+      script: chunked(withBody, host, SMALL_BODY_BYTES, 1),
+    },
+    {
+      title: "bodies in large chunks that stop short of their end",
+      size: 400,
+      script: chunked(withBody, host, BODY_LIMIT - LARGE_CHUNK_BYTES, LARGE_CHUNK_BYTES),
+    },
+    {
+      title: "bodies announced far over the limit",
+      size: 100,
+      script: announced(withBody, host, ANNOUNCED_BYTES, EXCESSIVE_BYTES),
+    },
+    {
+      title: "chunked bodies far over the limit",
+      size: 100,
+      script: chunked(withBody, host, EXCESSIVE_BYTES, LARGE_CHUNK_BYTES),
+    },
+    {
+      title: "bodies far over the limit in chunks of one byte",
+      size: 100,
+      script: chunked(withBody, host, 2 * MEBIBYTE, 1),
+    },
+    {title: "heads without an end", size: 700, script: unfinishedHead(plain)},
+  ]
+}
