Clients outside the limits are held within the memory and descriptors of the machine

Cause: a body was kept as the array of its chunks (each costs some hundred bytes, however small), all bodies together had no bound, requests sent ahead were all handled and their answers queued, a call of the jobs interface was read whole before its length was looked at, and nothing bounded the connections.

Change: src/callers has the limits of an instance from its machine, a budget of memory for bodies in which the body that took most for the longest gives way, a reader that copies chunks into one buffer, the choice of the connection to close when there are too many, and a guard that handles requests of one connection one after another. Both frontends use them.

--- /dev/null
+++ b/src/callers/guard.ts
@@ -0,0 +1,201 @@
+/**
+ * Keeps the connections of clients within the limits of an instance: their number, the requests that they send ahead,
+ * and answers that they do not read. Requests of one connection are handled one after another, so that a client which
+ * reads no answer causes no further work.
+ */
+import type {IncomingMessage, RequestListener, Server, ServerOptions, ServerResponse} from "node:http"
+import type {Socket} from "node:net"
+import type {Clock, Milliseconds} from "../core/clock.js"
+import type {Logger} from "../core/logger.js"
+import {createBodyBudget} from "./bodybudget.js"
+import {createBodyReader} from "./bodyreader.js"
+import type {BodyReader} from "./bodyreader.js"
+import {chooseConnectionToClose} from "./crowding.js"
+import type {ClientLimits} from "./limits.js"
+
+/** Why a client was refused or its connection closed. */
+export type RefusalReason =
+  "connections" | "requests-ahead" | "unread-answer" | "too-large" | "no-room" | "too-slow"
+
+export interface ClientGuard {
+  /** Options for the server that is to be guarded. */
+  readonly options: ServerOptions
+  /** Wraps the handler of the server's requests. */
+  readonly listener: (handler: RequestListener) => RequestListener
+  /** Watches the connections of the server. For TLS the event is `secureConnection`. */
+  readonly attach: (server: Server, event?: "connection" | "secureConnection") => void
+  readonly bodies: BodyReader
+  /** Number of requests that were read and have not been answered. */
+  readonly openRequests: () => number
+  /** Gauges and counters for the metrics. */
+  readonly counts: () => Readonly<Record<string, number>>
+}
+
+interface Waiting {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+}
+
+interface Connection {
+  readonly socket: Socket
+  waitingSince: Milliseconds | undefined
+  answered: boolean
+  /** A request is being received, handled or answered. */
+  busy: boolean
+  /** Requests that were sent ahead. */
+  readonly queue: Waiting[]
+  /** Bytes of answers that the client has taken, and when that last changed. */
+  taken: number
+  takenAt: Milliseconds
+}
+
+const CHECK_INTERVAL_MS: Milliseconds = 1000
+const TIMEOUT_CHECK_INTERVAL_MS: Milliseconds = 5000
+const BAD_REQUEST = 400
+const EXPECTATION_FAILED = 417
+
+function hasBody({headers}: IncomingMessage): boolean {
+  return headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0
+}
+
+function answerEmpty(response: ServerResponse, status: number): void {
+  response.writeHead(status, {Connection: "close", "Content-Length": 0})
+  response.end()
+}
+
+export function createClientGuard(
+  limits: ClientLimits,
+  clock: Pick<Clock, "now" | "after">,
+  log: Logger,
+): ClientGuard {
+  const connections = new Map<Socket, Connection>()
+  const refusals = new Map<RefusalReason, number>()
+  const unreported = new Map<RefusalReason, number>()
+  const budget = createBodyBudget(limits.bodyBytes)
+  let openRequests = 0
+
+  function count(reason: RefusalReason): void {
+    refusals.set(reason, (refusals.get(reason) ?? 0) + 1)
+    unreported.set(reason, (unreported.get(reason) ?? 0) + 1)
+  }
+
+  const bodies = createBodyReader(clock, budget, count)
+
+  function close(connection: Connection, reason: RefusalReason): void {
+    count(reason)
+    connection.socket.destroy()
+    forget(connection)
+  }
+
+  function forget(connection: Connection): void {
+    if (!connections.delete(connection.socket)) return
+    openRequests -= connection.queue.length + (connection.busy ? 1 : 0)
+    connection.queue.length = 0
+  }
+
+  function add(socket: Socket): void {
+    const now = clock.now()
+    const connection: Connection = {
+      socket,
+      waitingSince: now,
+      answered: false,
+      busy: false,
+      queue: [],
+      taken: 0,
+      takenAt: now,
+    }
+    if (connections.size >= limits.connections) {
+      const victim = chooseConnectionToClose(connections.values())
+      if (!victim) {
+        count("connections")
+        socket.destroy()
+        return
+      }
+      close(victim, "connections")
+    }
+    connections.set(socket, connection)
+    socket.once("close", () => forget(connection))
+  }
+
+  function begin(connection: Connection, {request, response}: Waiting, handler: RequestListener): void {
+    connection.busy = true
+    connection.waitingSince = request.complete || !hasBody(request) ? undefined : clock.now()
+    request.once("end", () => (connection.waitingSince = undefined))
+    response.once("prefinish", () => (connection.waitingSince = clock.now()))
+    response.once("close", () => {
+      if (!connections.has(connection.socket)) return
+      connection.busy = false
+      connection.answered ||= response.writableFinished
+      connection.waitingSince = clock.now()
+      openRequests -= 1
+      const next = connection.queue.shift()
+      if (next) begin(connection, next, handler)
+    })
+    if (request.headers.host === undefined && request.httpVersion === "1.1")
+      answerEmpty(response, BAD_REQUEST)
+    else handler(request, response)
+  }
+
+  function take(handler: RequestListener, request: IncomingMessage, response: ServerResponse): void {
+    const connection = connections.get(request.socket)
+    // The parser goes on to the end of what it has read, also after the connection is closed.
+    if (!connection || request.socket.destroyed) return
+    if (connection.busy && (hasBody(request) || connection.queue.length >= limits.requestsAhead)) {
+      close(connection, "requests-ahead")
+      return
+    }
+    openRequests += 1
+    if (connection.busy) connection.queue.push({request, response})
+    else begin(connection, {request, response}, handler)
+  }
+
+  /** Closes connections whose client does not read, and reports what the limits have done. */
+  function check(): void {
+    const now = clock.now()
+    for (const connection of [...connections.values()]) {
+      const {socket} = connection
+      const taken = socket.bytesWritten - socket.writableLength
+      if (socket.writableLength === 0 || taken !== connection.taken) {
+        connection.taken = taken
+        connection.takenAt = now
+      } else if (now - connection.takenAt >= limits.unreadTime) close(connection, "unread-answer")
+    }
+    if (unreported.size === 0) return
+    const seen = {connections: connections.size, bodyBytes: budget.used(), openRequests}
+    log.warn(
+      {event: "clients-refused", ...Object.fromEntries(unreported), ...seen},
+      "clients outside the limits were refused",
+    )
+    unreported.clear()
+  }
+
+  return {
+    options: {
+      maxHeaderSize: limits.headBytes,
+      headersTimeout: limits.headTime,
+      requestTimeout: limits.requestTime,
+      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+      // Requests without the header have to count like others. They are answered with 400 here.
+      requireHostHeader: false,
+    },
+    listener: handler => (request, response) => take(handler, request, response),
+    attach(server, event = "connection") {
+      server.on(event, add)
+      server.on("checkExpectation", (request: IncomingMessage, response: ServerResponse) =>
+        take((_request, refused) => answerEmpty(refused, EXPECTATION_FAILED), request, response),
+      )
+      const timer = setInterval(check, CHECK_INTERVAL_MS)
+      timer.unref()
+      server.once("close", () => clearInterval(timer))
+    },
+    bodies,
+    openRequests: () => openRequests,
+    counts: () => ({
+      client_connections: connections.size,
+      body_bytes: budget.used(),
+      ...Object.fromEntries(
+        [...refusals].map(([reason, total]) => [`refused_${reason.replaceAll("-", "_")}`, total]),
+      ),
+    }),
+  }
+}
--- a/src/cli/daemon.ts
+++ b/src/cli/daemon.ts
@@ -1,6 +1,8 @@
 /** The program that the platform starts for each instance. It runs until it receives a stop signal. */
 import {randomBytes} from "node:crypto"
 import pino from "pino"
+import {createClientGuard} from "../callers/guard.js"
+import {clientLimits} from "../callers/limits.js"
 import {systemClock} from "../core/clock.js"
 import type {Milliseconds} from "../core/clock.js"
 import {describeError} from "../core/errors.js"
@@ -76,20 +78,22 @@
       clients,
     },
   )
+  const guard = createClientGuard(clientLimits(settings), clock, log)
   const frontend = createFrontend({
     intake: instance.intake,
     configuration: instance.configuration,
     wallClock: clock.wallClock,
     longestRecord: settings.longestStoredValue,
     log,
+    guard,
     isDraining: instance.isDraining,
   })
-  let openRequests = 0
-  frontend.on("request", (_request, response) => {
-    openRequests += 1
-    response.once("close", () => (openRequests -= 1))
-  })
-  const metrics = (): string => fleetMetrics.format({...instance.counts(), requests_in_hand: openRequests})
+  const metrics = (): string =>
+    fleetMetrics.format({
+      ...instance.counts(),
+      ...guard.counts(),
+      requests_in_hand: guard.openRequests(),
+    })
   const status = createStatusServer(instance.isReady, metrics)
   await servePeers(fleetRoutes(instance.handlers), settings.peerAddress, undefined)
   await listen(frontend, settings.callerAddress)
@@ -106,11 +110,11 @@
     log.info({event: "stopping"}, "the instance is stopping")
     await stopGracefully(clock, settings.stopGrace, {
       drain: () => instance.drain(),
-      countOpenRequests: () => openRequests,
+      countOpenRequests: guard.openRequests,
       closeListener: () => closeServer(frontend),
     })
     instance.stop()
-    log.info({event: "stopped", inHand: openRequests}, "the instance has stopped")
+    log.info({event: "stopped", inHand: guard.openRequests()}, "the instance has stopped")
     destination.flushSync()
     process.exit(EXIT.ok)
   }
--- a/src/entry/callerserver.ts
+++ b/src/entry/callerserver.ts
@@ -10,8 +10,11 @@
 import type {Server as TlsServer} from "node:https"
 import type {Socket} from "node:net"
 import {getRequestListener} from "@hono/node-server"
+import type {HttpBindings} from "@hono/node-server"
 import {Hono} from "hono"
 import type {Context} from "hono"
+import type {BodyReader} from "../callers/bodyreader.js"
+import type {ClientGuard} from "../callers/guard.js"
 import type {Clock} from "../core/clock.js"
 import type {JobResponse} from "../controllers/jobresponses.js"
 import {problem} from "../controllers/jobresponses.js"
@@ -34,8 +37,12 @@
   readonly serve: (exchange: Exchange) => Promise<void>
   readonly isLeaving: () => boolean
   readonly maxBodyBytes: () => number
+  /** Keeps callers within the limits of the instance. */
+  readonly guard: ClientGuard
 }
 
+type CallContext = Context<{Bindings: HttpBindings}>
+
 export interface CallerServer {
   readonly address: string
   /** Number of requests to services in progress. */
@@ -44,9 +51,7 @@
   readonly close: (timeoutMs: number) => Promise<void>
 }
 
-const HEADERS_TIMEOUT_MS = 10_000
 const KEEP_ALIVE_TIMEOUT_MS = 5000
-const MAX_HEADER_BYTES = 16 * 1024
 const CERTIFICATE_POLL_INTERVAL_MS = 2000
 const SERVICE_PATH = /^\/services\/([^/?#]+)(.*)$/s
 const PROBLEM_CONTENT_TYPE = "application/problem+json"
@@ -56,50 +61,53 @@
   return timingSafeEqual(digest(given), digest(expected))
 }
 
-function createResponse(context: Context, answer: JobResponse): Response {
+function createResponse(context: CallContext, answer: JobResponse): Response {
   const type = answer.status >= 400 ? PROBLEM_CONTENT_TYPE : "application/json"
   const execution = (answer.body as {readonly execution?: string}).execution ?? "unknown"
   const headers: Record<string, string> = {"content-type": type, "lacewing-execution": execution}
   if (answer.status === 503) headers["retry-after"] = "1"
+  if (answer.status === 413) headers.connection = "close"
   const {job} = answer.body as {readonly job?: string}
   if (answer.status === 202 && job !== undefined) headers.location = `/jobs/${job}`
   return context.body(JSON.stringify(answer.body), answer.status as 200, headers)
 }
 
-/** Reads a JSON body of limited size. Returns a problem when the body is too large or is not JSON. */
+/** Reads a JSON body of limited size. Returns a problem when it is refused or is not JSON. */
 async function readJson(
-  context: Context,
+  context: CallContext,
+  bodies: BodyReader,
   maxLength: number,
 ): Promise<{readonly value: unknown} | {readonly refusal: JobResponse}> {
-  const declaredLength = Number(context.req.header("content-length") ?? 0)
-  const tooLarge = problem(
-    413,
-    "body-too-large",
-    "The body is too large",
-    `The body may have at most ${maxLength} bytes.`,
-    "not-run",
-  )
-  if (declaredLength > maxLength) return {refusal: tooLarge}
-  const text = await context.req.text()
-  if (text.length > maxLength) return {refusal: tooLarge}
+  const outcome = await bodies.read(context.env.incoming, maxLength)
+  if (outcome.type === "too-large") {
+    const detail = `The body may have at most ${maxLength} bytes.`
+    return {refusal: problem(413, "body-too-large", "The body is too large", detail, "not-run")}
+  }
+  if (outcome.type !== "read") {
+    const title = "There is no room for the body"
+    return {refusal: problem(503, "no-room-for-body", title, "Send the call again.", "not-run")}
+  }
   try {
-    return {value: JSON.parse(text) as unknown}
+    return {value: JSON.parse(outcome.body.toString("utf8")) as unknown}
   } catch {
     return {
       refusal: problem(400, "malformed-json", "The body is not JSON", "Send one JSON object.", "not-run"),
     }
+  } finally {
+    outcome.release()
   }
 }
 
-function createApplication(ports: CallerServerPorts): Hono {
-  const app = new Hono()
+function createApplication(ports: CallerServerPorts): Hono<{Bindings: HttpBindings}> {
+  const app = new Hono<{Bindings: HttpBindings}>()
+  const readBody = (context: CallContext) => readJson(context, ports.guard.bodies, ports.maxBodyBytes())
 
-  function isOperator(context: Context): boolean {
+  function isOperator(context: CallContext): boolean {
     const givenKey = /^Bearer (.+)$/.exec(context.req.header("authorization") ?? "")?.[1] ?? ""
     return isSameSecret(givenKey, ports.operatorKey)
   }
 
-  function unauthorized(context: Context): Response {
+  function unauthorized(context: CallContext): Response {
     return createResponse(
       context,
       problem(
@@ -118,7 +126,7 @@
   app.get("/status", context => context.json(ports.status()))
   app.get("/", context => context.html(renderStatusPage(ports.status())))
   app.post("/jobs", async context => {
-    const body = await readJson(context, ports.maxBodyBytes())
+    const body = await readBody(context)
     if ("refusal" in body) return createResponse(context, body.refusal)
     return createResponse(
       context,
@@ -142,7 +150,7 @@
   )
   app.post("/documents", async context => {
     if (!isOperator(context)) return unauthorized(context)
-    const body = await readJson(context, ports.maxBodyBytes())
+    const body = await readBody(context)
     return createResponse(
       context,
       "refusal" in body ? body.refusal : await ports.operators.propose(body.value),
@@ -150,7 +158,7 @@
   })
   app.post("/documents/trial", async context => {
     if (!isOperator(context)) return unauthorized(context)
-    const body = await readJson(context, ports.maxBodyBytes())
+    const body = await readBody(context)
     return createResponse(
       context,
       "refusal" in body ? body.refusal : await ports.operators.tryDocument(body.value),
@@ -205,12 +213,9 @@
 function createListener(
   handler: (incoming: IncomingMessage, outgoing: ServerResponse) => void,
   tls: TlsFiles | undefined,
+  guard: ClientGuard,
 ): Server | TlsServer {
-  const options = {
-    maxHeaderSize: MAX_HEADER_BYTES,
-    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-    headersTimeout: HEADERS_TIMEOUT_MS,
-  }
+  const options = {...guard.options, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS}
   if (!tls) return createServer(options, handler)
   const read = (): {cert: Buffer; key: Buffer} => ({
     cert: readFileSync(tls.certificate),
@@ -270,11 +275,17 @@
     }
   }
 
-  const server = createListener((incoming, outgoing) => {
+  const handle = ports.guard.listener((incoming, outgoing) => {
     const match = SERVICE_PATH.exec(incoming.url ?? "")
     if (match) void serveRequest(incoming, outgoing, match)
-    else void applicationListener(incoming, outgoing)
-  }, tls)
+    else {
+      // A body that nobody reads would wait in pieces, each of which costs more than its bytes.
+      if (incoming.method !== "POST") incoming.resume()
+      void applicationListener(incoming, outgoing)
+    }
+  })
+  const server = createListener(handle, tls, ports.guard)
+  ports.guard.attach(server, tls ? "secureConnection" : "connection")
 
   server.on("connection", (socket: Socket) => {
     sockets.add(socket)
--- a/src/entry/instance.ts
+++ b/src/entry/instance.ts
@@ -6,6 +6,9 @@
 import type {BackendClient} from "../controllers/backendclient.js"
 import type {Logger} from "../core/logger.js"
 import {silentConnectionDetector} from "../controllers/silence.js"
+import {createClientGuard} from "../callers/guard.js"
+import type {ClientGuard} from "../callers/guard.js"
+import {clientLimits} from "../callers/limits.js"
 import {bodyFilter} from "../filters/body.js"
 import {callerLimitFilter} from "../filters/callerlimit.js"
 import {deadlineFilter} from "../filters/deadline.js"
@@ -73,6 +76,7 @@
   log: Logger,
   probe: BackendProbe,
   client: BackendClient,
+  guard: ClientGuard,
 ) {
   const {document, network, routes, jobGroupCount, routers} = core
   const homes = createKeyHomes({clock, network, holderOf: routes.holderOf, jobGroups: jobGroupCount})
@@ -86,7 +90,7 @@
       perCaller: () => document()?.limits.openRequestsPerCaller ?? DEFAULT_MAX_OPEN_REQUESTS,
       perTeam: team => document()?.teams.get(team)?.openRequests,
     }),
-    bodyFilter(clock, () => document()?.limits.maximumBodyBytes ?? DEFAULT_MAX_BODY_BYTES),
+    bodyFilter(clock, guard.bodies, () => document()?.limits.maximumBodyBytes ?? DEFAULT_MAX_BODY_BYTES),
     idempotencyFilter(clock, homes),
     forwardFilter({
       clock,
@@ -103,6 +107,7 @@
   const {clock, random, log} = ports
   const record = createRequestRecord(clock, ports.metrics)
   const backends = backendClient()
+  const guard = createClientGuard(clientLimits(settings), clock, log)
   let leaving = false
 
   // The peer server listens before the core exists, because the core announces the server's address to peers.
@@ -127,7 +132,7 @@
     onSlotReturned: backends.dropConnection,
     onReplaced: ports.onReplaced,
   })
-  const runChain = createFilterChain(core, clock, log, ports.probe, backends)
+  const runChain = createFilterChain(core, clock, log, ports.probe, backends, guard)
 
   async function serve(exchange: Exchange): Promise<void> {
     try {
@@ -175,6 +180,7 @@
       serve,
       isLeaving: () => leaving,
       maxBodyBytes: () => core.document()?.limits.maximumBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+      guard,
     },
     settings.callerAddress,
     settings.callerTls,
--- a/src/platform/frontend.ts
+++ b/src/platform/frontend.ts
@@ -4,6 +4,8 @@
  */
 import {createServer} from "node:http"
 import type {IncomingMessage, Server, ServerResponse} from "node:http"
+import {canKeepConnection, endAndClose} from "../callers/answering.js"
+import type {ClientGuard} from "../callers/guard.js"
 import type {Milliseconds} from "../core/clock.js"
 import {describeError} from "../core/errors.js"
 import type {Logger} from "../core/logger.js"
@@ -19,6 +21,8 @@
   /** Limit on the record of a job in the store, in bytes. */
   readonly longestRecord: number
   readonly log: Logger
+  /** Keeps clients within the limits of the instance. */
+  readonly guard: ClientGuard
   /** Whether the instance is about to stop, so that callers should open new connections to other instances. */
   readonly isDraining: () => boolean
 }
@@ -29,6 +33,10 @@
 const MILLISECONDS_PER_SECOND = 1000
 /** Longer than callers leave a connection idle, so that no request arrives while its connection is being closed. */
 const KEEP_ALIVE_MS: Milliseconds = 65_000
+/** When there is no room for a body, which bodies that stop halfway give up soon. */
+const BODY_RETRY_MS: Milliseconds = 1000
+/** After these, the rest of a body is not waited for. */
+const CLOSING_STATUSES: ReadonlySet<number> = new Set([413, 503])
 
 /** The queue or the job that the path of a request refers to. */
 interface Target {
@@ -59,31 +67,28 @@
   return {...refusal(503, "The service is not available now."), headers: {"Retry-After": String(seconds)}}
 }
 
-/** Reads the whole body. Returns undefined when it is longer than the limit. */
-async function readBody(request: IncomingMessage, limit: number): Promise<string | undefined> {
-  const chunks: Buffer[] = []
-  let length = 0
-  for await (const chunk of request) {
-    length += (chunk as Buffer).length
-    if (length <= limit) chunks.push(chunk as Buffer)
-  }
-  return length <= limit ? Buffer.concat(chunks).toString("utf8") : undefined
-}
-
-function writeAnswer(response: ServerResponse, answer: Answer, close: boolean): void {
+function writeAnswer(
+  request: IncomingMessage,
+  response: ServerResponse,
+  answer: Answer,
+  isDraining: boolean,
+): void {
   const content = JSON.stringify(answer.body)
+  const keep = canKeepConnection(request) && (request.complete || !CLOSING_STATUSES.has(answer.status))
   response.writeHead(answer.status, {
     "Content-Type": "application/json",
     "Content-Length": Buffer.byteLength(content),
     ...answer.headers,
-    ...(close ? {Connection: "close"} : {}),
+    ...(isDraining || !keep ? {Connection: "close"} : {}),
   })
-  response.end(content)
+  request.resume()
+  if (keep) response.end(content)
+  else endAndClose(request, response, content)
 }
 
 /** Creates the server for callers, which is not listening yet. */
 export function createFrontend(ports: FrontendPorts): Server {
-  const {intake, configuration, wallClock, longestRecord, log} = ports
+  const {intake, configuration, wallClock, longestRecord, log, guard} = ports
 
   function resolveTarget(request: IncomingMessage): Target | "no-configuration" | "not-found" {
     const current = configuration()
@@ -97,9 +102,19 @@
   }
 
   async function submit(request: IncomingMessage, target: Target): Promise<Answer> {
-    const {queue, job: id, bodyLimit} = target
-    const body = await readBody(request, bodyLimit)
-    if (body === undefined) return refusal(413, `The body is longer than ${bodyLimit} bytes.`)
+    const {bodyLimit} = target
+    const outcome = await guard.bodies.read(request, bodyLimit)
+    if (outcome.type === "too-large") return refusal(413, `The body is longer than ${bodyLimit} bytes.`)
+    if (outcome.type !== "read") return unavailable(BODY_RETRY_MS)
+    try {
+      return await submitBody(outcome.body.toString("utf8"), request, target)
+    } finally {
+      outcome.release()
+    }
+  }
+
+  async function submitBody(body: string, request: IncomingMessage, target: Target): Promise<Answer> {
+    const {queue, job: id} = target
     const job = readJobRequest(body, {id, queue, acceptedAt: wallClock()}, longestRecord)
     if (job.isErr()) {
       log.info(
@@ -165,21 +180,24 @@
     return refusal(405, "The method is not known here.")
   }
 
-  const server = createServer((request, response) => {
+  function serve(request: IncomingMessage, response: ServerResponse): void {
+    // A body that nobody reads would wait in pieces, each of which costs more than its bytes.
+    if (request.method !== "POST") request.resume()
     handle(request)
       .catch((error: unknown) => {
         log.error({event: "request-failed", reason: describeError(error)}, "request handler failed")
         return refusal(502, "The request could not be handled.")
       })
       .then(answer => {
-        request.resume()
-        writeAnswer(response, answer, ports.isDraining())
+        writeAnswer(request, response, answer, ports.isDraining())
       })
       .catch((error: unknown) => {
         log.warn({event: "answer-failed", reason: describeError(error)}, "response could not be sent")
       })
-  })
-  server.keepAliveTimeout = KEEP_ALIVE_MS
+  }
+
+  const server = createServer({...guard.options, keepAliveTimeout: KEEP_ALIVE_MS}, guard.listener(serve))
+  guard.attach(server)
   return server
 }
 
--- a/test/platform/calls.test.ts
+++ b/test/platform/calls.test.ts
@@ -8,6 +8,9 @@
 import test from "ava"
 import type {ExecutionContext} from "ava"
 import {err, ok} from "neverthrow"
+import {createClientGuard} from "../../src/callers/guard.js"
+import {clientLimits} from "../../src/callers/limits.js"
+import {systemClock} from "../../src/core/clock.js"
 import {SILENT_LOGGER} from "../../src/core/logger.js"
 import {CallFailed, StoreUnavailable} from "../../src/core/errors.js"
 import type {FleetConfiguration} from "../../src/pipelines/model.js"
@@ -418,6 +421,11 @@
     configuration: () => held.present,
     wallClock: () => 0,
     log: SILENT_LOGGER,
+    guard: createClientGuard(
+      clientLimits({memoryMebibytes: 0, descriptors: 0}),
+      systemClock(),
+      SILENT_LOGGER,
+    ),
     isDraining: () => false,
   })
   const address = await bind(server)
