--- a/src/callers/answering.ts
+++ b/src/callers/answering.ts
@@ -7,6 +7,8 @@
 
 const LINGER_MS: Milliseconds = 500
 const LINGER_BYTES = 262_144
+/** What a piece costs beside its bytes, so that little is read of a body in very small chunks. */
+const PIECE_BYTES = 256
 
 /** The rest of a body up to this length is dropped after an answer, so that the connection can be kept. */
 const LONGEST_DROPPED_BODY = 262_144
@@ -30,7 +32,7 @@
     response.end()
   }
   const drop = (chunk: Buffer): void => {
-    dropped += chunk.length
+    dropped += chunk.length + PIECE_BYTES
     if (dropped > LINGER_BYTES) end()
   }
   const timer = setTimeout(end, LINGER_MS)
--- a/src/callers/bodyreader.ts
+++ b/src/callers/bodyreader.ts
@@ -18,13 +18,42 @@
 }
 
 const FIRST_CAPACITY = 4096
+/** A body that came in so many pieces waits until other connections have had their turn. */
+const PIECES_PER_TURN = 500
 const EMPTY = Buffer.alloc(0)
 
+/**
+ * Lets one connection after another go on, one in each turn of the event loop. Bodies in very small chunks take far more
+ * processor time than others of their length, and timers and ordinary callers come in between.
+ */
+function createTurns(): (request: IncomingMessage, goOn: () => void) => void {
+  const waiting: (() => void)[] = []
+
+  function next(): void {
+    waiting.shift()?.()
+    if (waiting.length > 0) setImmediate(next)
+  }
+
+  return ({socket}, goOn) => {
+    // With each piece that is taken, the request resumes its socket.
+    const hold = (): void => void socket.pause()
+    socket.on("resume", hold)
+    socket.pause()
+    waiting.push(() => {
+      socket.off("resume", hold)
+      goOn()
+      socket.resume()
+    })
+    if (waiting.length === 1) setImmediate(next)
+  }
+}
+
 export function createBodyReader(
   clock: Pick<Clock, "now" | "after">,
   budget: BodyBudget,
   onRefused: (reason: "too-large" | "no-room" | "too-slow") => void = () => undefined,
 ): BodyReader {
+  const waitForTurn = createTurns()
   return {
     read: (request, limit, timeout) =>
       new Promise(resolve => {
@@ -37,6 +66,7 @@
         let buffer: Buffer = EMPTY
         let length = 0
         let finished = false
+        let pieces = 0
         const share = budget.open(clock.now(), () => finish({type: "no-room"}))
         const cancelTimeout =
           timeout === undefined ? undefined : clock.after(timeout, () => finish({type: "too-slow"}))
@@ -55,6 +85,8 @@
         }
 
         function take(chunk: Buffer): void {
+          pieces += 1
+          if (pieces === PIECES_PER_TURN) waitForTurn(request, () => (pieces = 0))
           const needed = length + chunk.length
           if (needed > limit) {
             finish({type: "too-large"})
--- a/test/unit/callers.test.ts
+++ b/test/unit/callers.test.ts
@@ -1,6 +1,9 @@
 /** Decisions on what clients may hold of an instance, played without a network. */
-import {PassThrough} from "node:stream"
+import {createServer} from "node:http"
 import type {IncomingMessage} from "node:http"
+import type {AddressInfo} from "node:net"
+import {connect} from "node:net"
+import {PassThrough} from "node:stream"
 import test from "ava"
 import {chooseBodyToRefuse, createBodyBudget} from "../../src/callers/bodybudget.js"
 import {createBodyReader} from "../../src/callers/bodyreader.js"
@@ -91,7 +94,10 @@
 }
 
 function start(budget = createBodyBudget(10 * BODY_LIMIT), headers = {}, timeout?: number): Sending {
-  const stream = Object.assign(new PassThrough(), {headers})
+  const stream = Object.assign(new PassThrough(), {
+    headers,
+    socket: new PassThrough(),
+  })
   const request = stream as unknown as IncomingMessage
   return {stream, outcome: createBodyReader(systemClock(), budget).read(request, BODY_LIMIT, timeout)}
 }
@@ -125,3 +131,47 @@
   t.is((await cut.outcome).type, "cut")
   t.is(budget.used(), 0)
 })
+
+/** The most pieces of one byte that Node reads at once, and those that a body may have had before. */
+const PIECES_READ_AT_ONCE = Math.ceil(65_536 / 6) + 500
+
+test("bodies in chunks of one byte leave turns of the event loop to others", async t => {
+  const size = 100_000
+  const clients = 10
+  const reader = createBodyReader(systemClock(), createBodyBudget(clients * BODY_LIMIT))
+  let turns = 0
+  let done = false
+  const countTurns = (): void => {
+    turns += 1
+    if (!done) setImmediate(countTurns)
+  }
+  const lengths: number[] = []
+  const allRead = new Promise<void>(resolve => {
+    const server = createServer((request, response) => {
+      if (turns === 0) countTurns()
+      void reader.read(request, BODY_LIMIT).then(outcome => {
+        lengths.push(outcome.type === "read" ? outcome.body.length : -1)
+        response.end()
+        if (lengths.length === clients) resolve()
+      })
+    })
+    t.teardown(() => server.closeAllConnections())
+    server.listen(0, "127.0.0.1", () => {
+      const {port} = server.address() as AddressInfo
+      for (let index = 0; index < clients; index += 1)
+        connect(port, "127.0.0.1")
+          .on("error", () => undefined)
+          .write(
+            `POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n${"1\r\nx\r\n".repeat(size)}0\r\n\r\n`,
+          )
+    })
+    t.teardown(() => server.close())
+  })
+  await allRead
+  done = true
+  t.deepEqual(
+    lengths,
+    Array.from({length: clients}, () => size),
+  )
+  t.true(size * clients <= (turns + clients) * PIECES_READ_AT_ONCE, `${turns} turns`)
+})
