--- a/test/platform/keys.test.ts
+++ b/test/platform/keys.test.ts
@@ -4,6 +4,9 @@
 import type {IncomingMessage, Server} from "node:http"
 import type {AddressInfo} from "node:net"
 import test from "ava"
+import {createClientGuard} from "../../src/callers/guard.js"
+import {clientLimits} from "../../src/callers/limits.js"
+import {systemClock} from "../../src/core/clock.js"
 import type {ExecutionContext} from "ava"
 import type {Milliseconds} from "../../src/core/clock.js"
 import {virtualClock} from "../../src/core/virtualclock.js"
@@ -103,6 +106,7 @@
     wallClock: () => 0,
     longestRecord: 2 ** 20,
     log,
+    guard: createClientGuard(clientLimits({memoryMebibytes: 0, descriptors: 0}), systemClock(), log),
     isDraining: () => false,
   })
   server.listen(0, "127.0.0.1")
