Connections are read in turns when one sends requests ahead

What Node has parsed of a connection stays in memory until the connection is closed at the end of the turn, and one turn reads all connections.

Change: after a connection was closed for requests sent ahead, the others are read one in each turn.

--- a/src/callers/bodyreader.ts
+++ b/src/callers/bodyreader.ts
@@ -5,6 +5,7 @@
 import type {IncomingMessage} from "node:http"
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {BodyBudget} from "./bodybudget.js"
+import {createTurns} from "./turns.js"
 
 export type BodyOutcome =
   /** `release` has to be called once the request is answered. */
@@ -22,32 +23,6 @@
 const PIECES_PER_TURN = 500
 const EMPTY = Buffer.alloc(0)
 
-/**
- * Lets one connection after another go on, one in each turn of the event loop. Bodies in very small chunks take far more
- * processor time than others of their length, and timers and ordinary callers come in between.
- */
-function createTurns(): (request: IncomingMessage, goOn: () => void) => void {
-  const waiting: (() => void)[] = []
-
-  function next(): void {
-    waiting.shift()?.()
-    if (waiting.length > 0) setImmediate(next)
-  }
-
-  return ({socket}, goOn) => {
-    // With each piece that is taken, the request resumes its socket.
-    const hold = (): void => void socket.pause()
-    socket.on("resume", hold)
-    socket.pause()
-    waiting.push(() => {
-      socket.off("resume", hold)
-      goOn()
-      socket.resume()
-    })
-    if (waiting.length === 1) setImmediate(next)
-  }
-}
-
 export function createBodyReader(
   clock: Pick<Clock, "now" | "after">,
   budget: BodyBudget,
@@ -86,7 +61,7 @@
 
         function take(chunk: Buffer): void {
           pieces += 1
-          if (pieces === PIECES_PER_TURN) waitForTurn(request, () => (pieces = 0))
+          if (pieces === PIECES_PER_TURN) waitForTurn(request.socket, () => (pieces = 0))
           const needed = length + chunk.length
           if (needed > limit) {
             finish({type: "too-large"})
--- a/src/callers/guard.ts
+++ b/src/callers/guard.ts
@@ -12,6 +12,7 @@
 import type {BodyReader} from "./bodyreader.js"
 import {chooseConnectionToClose} from "./crowding.js"
 import type {ClientLimits} from "./limits.js"
+import {createTurns} from "./turns.js"
 
 /** Why a client was refused or its connection closed. */
 export type RefusalReason =
@@ -44,6 +45,8 @@
   busy: boolean
   /** Requests that were sent ahead. */
   readonly queue: Waiting[]
+  /** The connection waits for its turn to be read. */
+  held: boolean
   /** Bytes of answers that the client has taken, and when that last changed. */
   taken: number
   takenAt: Milliseconds
@@ -80,6 +83,16 @@
   }
 
   const bodies = createBodyReader(clock, budget, count)
+  const waitForTurn = createTurns()
+
+  /** Requests sent ahead stay in memory until their connection is closed, so no other is read before that. */
+  function holdOthers(): void {
+    for (const connection of connections.values()) {
+      if (connection.held) continue
+      connection.held = true
+      waitForTurn(connection.socket, () => (connection.held = false))
+    }
+  }
 
   function close(connection: Connection, reason: RefusalReason): void {
     count(reason)
@@ -101,6 +114,7 @@
       answered: false,
       busy: false,
       queue: [],
+      held: false,
       taken: 0,
       takenAt: now,
     }
@@ -142,6 +156,7 @@
     if (!connection || request.socket.destroyed) return
     if (connection.busy && (hasBody(request) || connection.queue.length >= limits.requestsAhead)) {
       close(connection, "requests-ahead")
+      holdOthers()
       return
     }
     openRequests += 1
