What workspaces occupy is summed in a module of its own

Change: workspaceaccounts.ts has them, with what it asks of barrier, reports and pool named in its context. No behaviour changes.

--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -8,8 +8,6 @@
 import type {Logger} from "../core/logger.js"
 import {isForeign, maySee, ownerOf} from "../pipelines/callers.js"
 import type {Caller} from "../pipelines/callers.js"
-import type {Resources} from "../core/resources.js"
-import {add, isNothing, NO_RESOURCES} from "../core/resources.js"
 import type {FleetConfiguration, PipelineJob, Queue} from "../pipelines/model.js"
 import type {FleetReader, KeyChange, KeyValueStore, StoredItem, WorkerCalls} from "../pipelines/ports.js"
 import {FOREIGN_STATE} from "../peer/fleet.js"
@@ -25,12 +23,10 @@
 import {watchPrefix} from "./prefixwatch.js"
 import {createJobTable, INITIAL_PROGRESS} from "./jobtable.js"
 import type {ShownState} from "./jobtable.js"
-import type {WorkspaceUse} from "../pipelines/workspaceroom.js"
 import {isSlow} from "../pipelines/workerspeeds.js"
 import {findEarlierLeaders} from "./earlierleaders.js"
 import {createLeaderLoad} from "./leaderload.js"
 import type {LeaderBacklog} from "./leaderload.js"
-import {createEndedRuns} from "./endedruns.js"
 import {createHoldLog} from "./holdlog.js"
 import {createFollowers} from "./followers.js"
 import {createLedger} from "./ledger.js"
@@ -65,7 +61,7 @@
 import type {WorkerLinkEvents} from "./workerlink.js"
 import {createWorkerPool} from "./workerpool.js"
 import type {RemainingRuns} from "./workspaceuse.js"
-import {createWorkspaceUses, sumRuns, sumWaiting} from "./workspaceuse.js"
+import {createWorkspaceAccounts} from "./workspaceaccounts.js"
 
 export interface PlannerLimits {
   /** How long the lease of a worker's tasks lasts from each renewal. */
@@ -194,8 +190,6 @@
   const adviceDispatcher = createAdviceDispatcher(clock, log, adviceRequesters)
   const jobs = createJobTable(clock, log, ledger, findQueue, handleOutcome)
   const acceptedMemory = createAcceptedMemory(log, jobs, () => configuration()?.workspaces ?? [])
-  const workspaceUses = createWorkspaceUses()
-  const endedRuns = createEndedRuns()
   const holdLog = createHoldLog(clock, log)
   const shareLog = createShareLog(clock, log)
 
@@ -311,43 +305,19 @@
     for (const run of active.stepRuns) {
       for (const assignment of run.assignments) pool.linkOf(assignment.worker)?.stop(assignment)
     }
-    const {job, progress} = active
-    // The runs of a completed job have all ended.
-    if (job.workspace === undefined || progress.outcome === "completed") return undefined
-    const unseen = mayRunUnseen(active) ? sumWaiting(active) : NO_RESOURCES
-    if (!isNothing(unseen)) endedRuns.add(job.id, {workspace: job.workspace, occupied: unseen})
-    const occupied = add(sumRuns(active), unseen)
-    return isNothing(occupied) ? undefined : {workspace: job.workspace, occupied}
+    return workspaces.recordOutcome(active)
   }
 
-  /** True while tasks of the job that are not assigned here may run for an earlier leader. */
-  function mayRunUnseen(active: ActiveJob): boolean {
-    if (!active.isInherited) return false
-    if (queueServices.listUsed(active.job).some(barrier.blocks)) return true
-    return reports.isAwaitingReport(active.job.id)
-  }
-
-  /** Total capacity of the workers on which tasks may run that are not assigned here. */
-  function sumUnseenCapacity(): Resources {
-    let sum = NO_RESOURCES
-    for (const worker of pool.workers.values())
-      if (barrier.has(worker) || worker.unknownJobs.size > 0) sum = add(sum, worker.listing.capacity)
-    return sum
-  }
-
-  function sumWorkspaceUse(): ReadonlyMap<string, WorkspaceUse> {
-    endedRuns.check(pool.workers.values(), barrier.countWorkers() === 0)
-    return workspaceUses.update(configuration(), {
-      activeJobs: jobs.active.values(),
-      mayRunUnseen: active => active.progress.outcome === undefined && mayRunUnseen(active),
-      unseenCapacity: sumUnseenCapacity,
-      remainingRuns: endedRuns.list(),
-    })
-  }
-
-  function sumCapacity(): Resources {
-    return [...pool.workers.values()].reduce((sum, {listing}) => add(sum, listing.capacity), NO_RESOURCES)
-  }
+  const workspaces = createWorkspaceAccounts({
+    configuration,
+    activeJobs: () => jobs.active.values(),
+    workers: () => pool.workers.values(),
+    mayRunInherited: barrier.has,
+    haveAllListed: () => barrier.countWorkers() === 0,
+    isServiceBlocked: barrier.blocks,
+    listUsedServices: queueServices.listUsed,
+    awaitsListing: reports.isAwaitingReport,
+  })
 
   const starter = createStarter({
     term,
@@ -418,7 +388,7 @@
     passes += 1
     for (const active of jobs.active.values()) openDueOccurrences(active, clock.wallClock())
     const passStartedAt = clock.now()
-    const uses = sumWorkspaceUse()
+    const workspaceUses = workspaces.update()
     const result = planningPass.run(
       {
         now: clock.now(),
@@ -430,13 +400,13 @@
         awaitsListing: reports.isAwaitingReport,
         urgentPriorities: listUrgentPriorities(),
         idleRequesters: adviceDispatcher.countIdle(),
-        workspaceUses: uses,
+        workspaceUses,
         workLimit,
       },
       starter,
     )
     if (queueServices.needsRecording()) writeTerm(followers.current())
-    holdLog.record(result.heldSteps, uses)
+    holdLog.record(result.heldSteps, workspaceUses)
     shareLog.record(result.exceededShares)
     openSteps = result.openSteps
     heldSteps = result.heldSteps.length
@@ -543,7 +513,7 @@
     const work = readStoredWork(items)
     for (const {job, revision, record} of work.progress.values()) {
       ledger.setRevision(progressKey(job), revision)
-      if (record?.remaining) endedRuns.add(job, record.remaining)
+      if (record?.remaining) workspaces.restore(job, record.remaining)
       if (record?.withdrawn) jobs.addWithdrawn(job, record.writtenAt)
       else if (record?.outcome) jobs.addEnded(job, record.outcome, record.writtenAt, record.owner)
     }
@@ -708,7 +678,7 @@
       run_times: learnedRuns.size(),
       slow_workers: [...pool.workers.values()].filter(({speed}) => isSlow(speed)).length,
       ...leaderLoad.gauges(),
-      ...workspaceUses.gauges(sumCapacity()),
+      ...workspaces.gauges(),
     }),
     close,
   }
