--- a/test/clients/crowd.ts
+++ b/test/clients/crowd.ts
@@ -4,6 +4,7 @@
  */
 import {connect} from "node:net"
 import type {Socket} from "node:net"
+import {connect as connectSecurely} from "node:tls"
 import type {Milliseconds} from "../../src/core/clock.js"
 
 /** What one client sends: a head, and then the same part again and again. */
@@ -14,6 +15,13 @@
   readonly parts: number
 }
 
+/** How clients behave beside what they send. */
+export interface Manner {
+  readonly tls?: boolean
+  /** Reads one byte of the answers at a time, with a pause after each. */
+  readonly readsSlowly?: boolean
+}
+
 export interface Crowd {
   /** Resolves when no client can send any more: all is sent, the connection has ended, or the server does not read. */
   readonly settled: () => Promise<void>
@@ -37,8 +45,21 @@
   return new Promise(resolve => setTimeout(resolve, span))
 }
 
-function startClient(host: string, port: number, localAddress: string, script: Script): Socket {
-  const socket = connect({host, port, localAddress})
+/** Reads a byte at each interval. The kernel still takes what its buffer holds. */
+function readSlowly(socket: Socket): void {
+  const timer = setInterval(() => void socket.read(1), POLL_MS)
+  socket.once("close", () => clearInterval(timer))
+}
+
+function startClient(
+  host: string,
+  port: number,
+  localAddress: string,
+  script: Script,
+  {tls = false, readsSlowly = false}: Manner,
+): Socket {
+  const target = {host, port, localAddress}
+  const socket = tls ? connectSecurely({...target, rejectUnauthorized: false}) : connect(target)
   let sent = 0
   const send = (): void => {
     while (sent < script.parts && !socket.destroyed) {
@@ -46,13 +67,14 @@
       if (!socket.write(script.part)) return
     }
   }
-  socket.once("connect", () => {
+  socket.once(tls ? "secureConnect" : "connect", () => {
     socket.write(script.head)
     send()
   })
   socket.on("drain", send)
   socket.on("error", () => undefined)
   socket.pause()
+  if (readsSlowly) readSlowly(socket)
   return socket
 }
 
@@ -70,13 +92,24 @@
   })
 }
 
-export async function gather(address: string, size: number, script: Script): Promise<Crowd> {
+export async function gather(
+  address: string,
+  size: number,
+  script: Script,
+  manner: Manner = {},
+): Promise<Crowd> {
   const [host = "", port = "0"] = address.split(":")
   const sockets: Socket[] = []
   while (sockets.length < size) {
     for (let index = 0; index < OPENED_TOGETHER && sockets.length < size; index += 1)
       sockets.push(
-        startClient(host, Number(port), `${CLIENT_NETWORK}.${1 + (sockets.length % ADDRESSES)}`, script),
+        startClient(
+          host,
+          Number(port),
+          `${CLIENT_NETWORK}.${1 + (sockets.length % ADDRESSES)}`,
+          script,
+          manner,
+        ),
       )
     await pause(POLL_MS)
   }
@@ -102,6 +135,38 @@
   }
 }
 
+/**
+ * Clients that send what the script says and leave at once, a number of them together, until so many have come in all.
+ * Resolves when the last one has left.
+ */
+export async function passBy(
+  address: string,
+  {total, together}: {readonly total: number; readonly together: number},
+  script: Script,
+): Promise<void> {
+  const [host = "", port = "0"] = address.split(":")
+  const everything = Buffer.concat([
+    Buffer.from(script.head),
+    ...Array.from({length: script.parts}, () => script.part),
+  ])
+  let come = 0
+  const visit = (): Promise<void> =>
+    new Promise(resolve => {
+      const localAddress = `${CLIENT_NETWORK}.${1 + (come % ADDRESSES)}`
+      const socket = connect({host, port: Number(port), localAddress})
+      socket.on("error", () => undefined)
+      socket.once("close", () => resolve())
+      socket.write(everything, () => socket.destroy())
+    })
+  const visitor = async (): Promise<void> => {
+    while (come < total) {
+      come += 1
+      await visit()
+    }
+  }
+  await Promise.all(Array.from({length: together}, visitor))
+}
+
 /** Requests sent ahead on one connection, with no more than the headers that HTTP needs. */
 export function pipelined(path: string, host: string | undefined, bytes: number): Script {
   const hostLine = host === undefined ? "" : `Host:${host}\r\n`
@@ -133,3 +198,25 @@
 export function unfinishedHead(path: string): Script {
   return {head: `GET ${path} HTTP/1.1\r\n`, part: Buffer.alloc(0), parts: 0}
 }
+
+/** A request with a complete body. */
+export function complete(path: string, host: string, body: string): Script {
+  const head = `POST ${path} HTTP/1.1\r\nHost: ${host}\r\nContent-Length: ${Buffer.byteLength(body)}\r\n\r\n`
+  return {head, part: Buffer.from(body), parts: 1}
+}
+
+/** A few requests sent ahead, each with many short header lines. */
+export function manyHeaders(path: string, host: string, lines: number, requests: number): Script {
+  const headers = Array.from({length: lines}, (_, index) => `h${index}:\r\n`).join("")
+  const request = `GET ${path} HTTP/1.1\r\nHost: ${host}\r\n${headers}\r\n`
+  return {head: request.repeat(requests), part: Buffer.alloc(0), parts: 0}
+}
+
+/** A chunked body of chunks of one byte, each with an extension. */
+export function extendedChunks(path: string, host: string, chunks: number, extension: number): Script {
+  const chunk = Buffer.from(`1;${"e".repeat(extension)}\r\nx\r\n`)
+  return {head: chunkedHead(path, host), part: chunk, parts: chunks}
+}
+
+/** A connection on which nothing is sent. */
+export const SILENCE: Script = {head: "", part: Buffer.alloc(0), parts: 0}
--- a/test/clients/crowds.ts
+++ b/test/clients/crowds.ts
@@ -1,6 +1,6 @@
 /** The crowds that both frontends are tested with, and the machine on which they must hold. */
-import {announced, chunked, pipelined, unfinishedHead} from "./crowd.js"
-import type {Script} from "./crowd.js"
+import {announced, chunked, extendedChunks, manyHeaders, pipelined, unfinishedHead} from "./crowd.js"
+import type {Manner, Script} from "./crowd.js"
 import type {Machine} from "./watchedprocess.js"
 
 /** Smaller than any machine of a deployment, so that small crowds suffice. */
@@ -14,11 +14,19 @@
 const ANNOUNCED_BYTES = 1024 * MEBIBYTE
 const LARGE_CHUNK_BYTES = 16_384
 const SMALL_BODY_BYTES = BODY_LIMIT - LARGE_CHUNK_BYTES
+/** A body that the users' trial had, in chunks of one byte. */
+export const TRIAL_BODY_BYTES = 240_000
+export const TRIAL_CROWD = 300
+const EXTENSION_BYTES = 100
+const EXTENDED_CHUNKS = 10_000
+/** As many as may wait on a connection, and one that is handled. */
+const REQUESTS_TOGETHER = 17
 
 export interface CrowdCase {
   readonly title: string
   readonly size: number
   readonly script: Script
+  readonly manner?: Manner
 }
 
 /** Where a frontend takes a request with a body, and one without. */
@@ -66,5 +74,21 @@
       script: chunked(withBody, host, 2 * MEBIBYTE, 1),
     },
     {title: "heads without an end", size: 700, script: unfinishedHead(plain)},
+    {
+      title: "hundreds of bodies in chunks of one byte",
+      size: TRIAL_CROWD,
+      script: chunked(withBody, host, TRIAL_BODY_BYTES, 1),
+    },
+    {
+      title: "chunks of one byte with extensions",
+      size: 100,
+      script: extendedChunks(withBody, host, EXTENDED_CHUNKS, EXTENSION_BYTES),
+    },
+    {
+      title: "a few requests sent ahead, their answers read one byte at a time",
+      size: 100,
+      script: manyHeaders(plain, host, 0, REQUESTS_TOGETHER),
+      manner: {readsSlowly: true},
+    },
   ]
 }
--- a/test/clients/entryprocess.ts
+++ b/test/clients/entryprocess.ts
@@ -6,6 +6,7 @@
 import {systemClock} from "../../src/core/clock.js"
 import {instanceListCore, serveInstanceList} from "../../standins/instancelistserver.js"
 import {serveStore} from "../../standins/storeserver.js"
+import type {StoreServer} from "../../standins/storeserver.js"
 import {entryLine, OPERATOR_KEY, startPools} from "../../standins/trial.js"
 import {truthRecord} from "../../standins/truth.js"
 import {SMALL_DEPLOYMENT} from "../support/sockets.js"
@@ -19,7 +20,9 @@
 const HOST = `127.80.${(process.pid >> 8) & 255}.${process.pid & 255 || 1}`
 export const CALLERS = `${HOST}:7101`
 const PEERS = `${HOST}:7102`
-const DOCUMENT = `[environment]
+const CERTIFICATES = join("test", "support", "certificates")
+const TLS = `tls = on\ncertificate = ${join(CERTIFICATES, "instance.pem")}\nkey = ${join(CERTIFICATES, "instance.key")}`
+export const DOCUMENT = `[environment]
 name = clients
 job_groups = 16
 data_centres = cascadia-a, cascadia-b, cascadia-c
@@ -38,11 +41,16 @@
 
 export interface Entry {
   readonly process: WatchedProcess
+  /** Where callers send their requests. */
+  readonly url: string
+  readonly store: StoreServer
+  /** Proposes a configuration on the basis of the given one; resolves once it is accepted. */
+  readonly configure: (text: string, baseNumber: number) => Promise<void>
   readonly close: () => Promise<void>
 }
 
 /** Starts an instance that is alone in its environment, with a few workers. */
-export async function startEntry(machine: Machine): Promise<Entry> {
+export async function startEntry(machine: Machine, tls = false): Promise<Entry> {
   const clock = systemClock()
   const store = await serveStore(clock)
   const list = instanceListCore(clock, 0)
@@ -57,6 +65,7 @@
     [
       `[instance]\nname = entry-1\ndata_centre = ${SMALL_DEPLOYMENT.dataCentres[0]}`,
       `[callers]\naddress = ${CALLERS}`,
+      ...(tls ? [TLS] : []),
       `[peers]\naddress = ${PEERS}`,
       `[platform]\nstore = ${store.address}\ninstance_list = ${listServer.address}`,
       `[operators]\nkey = ${OPERATOR_KEY}`,
@@ -65,8 +74,23 @@
     ].join("\n"),
   )
   const watched = startWatched(machine, ["build/src/cli/main.js", "entry", "--settings", settings])
-  const entry: Entry = {
+  const url = `${tls ? "https" : "http"}://${CALLERS}`
+  async function configure(text: string, baseNumber: number): Promise<void> {
+    const proposal = {text, baseNumber, operator: "test", proposal: randomUUID()}
+    const headers = {authorization: `Bearer ${OPERATOR_KEY}`, "content-type": "application/json"}
+    await untilAnswered(
+      `${url}/documents`,
+      {method: "POST", headers, body: JSON.stringify(proposal)},
+      watched,
+    )
+  }
+
+  await configure(DOCUMENT, 0)
+  return {
     process: watched,
+    url,
+    store,
+    configure,
     async close() {
       await watched.stop()
       await Promise.all([...hosts.workers.values()].map(worker => worker.close()))
@@ -75,12 +99,4 @@
       await store.close()
     },
   }
-  const proposal = {text: DOCUMENT, baseNumber: 0, operator: "test", proposal: randomUUID()}
-  const headers = {authorization: `Bearer ${OPERATOR_KEY}`, "content-type": "application/json"}
-  await untilAnswered(
-    `http://${CALLERS}/documents`,
-    {method: "POST", headers, body: JSON.stringify(proposal)},
-    watched,
-  )
-  return entry
 }
--- a/test/clients/ordinary.ts
+++ b/test/clients/ordinary.ts
@@ -1,5 +1,5 @@
 /** An ordinary caller: it sends one request at a time, and comes back when it was refused or cut off. */
-import {request} from "undici"
+import {Agent, request} from "undici"
 import type {Milliseconds} from "../../src/core/clock.js"
 import type {WatchedProcess} from "./watchedprocess.js"
 
@@ -8,6 +8,8 @@
 const RETRY_MS: Milliseconds = 1000
 const ANSWER_LIMIT_MS: Milliseconds = 30_000
 const FIRST_ERROR_STATUS = 400
+/** The addresses of the processes are not those of the certificate. */
+const SECURE = new Agent({connect: {rejectUnauthorized: false}})
 
 export interface OrdinaryRequest {
   readonly method: "GET" | "POST"
@@ -26,6 +28,7 @@
     try {
       const reply = await request(url, {
         ...options,
+        ...(url.startsWith("https:") ? {dispatcher: SECURE} : {}),
         headersTimeout: ANSWER_LIMIT_MS,
         bodyTimeout: ANSWER_LIMIT_MS,
       })
--- a/test/clients/watchedprocess.ts
+++ b/test/clients/watchedprocess.ts
@@ -15,6 +15,8 @@
 const SAMPLE_MS: Milliseconds = 50
 const KIBIBYTES_PER_MEBIBYTE = 1024
 const LAST_OUTPUT_LENGTH = 2000
+/** A process that has not ended by itself this long after the signal to stop hangs. */
+const STOP_LIMIT_MS: Milliseconds = 20_000
 
 export interface Usage {
   readonly peakMebibytes: number
@@ -27,6 +29,8 @@
   readonly usage: () => Usage
   /** What the process has broken: it ended, or it used more than its machine has. */
   readonly faults: () => readonly string[]
+  /** Asks for a planned stop. Resolves with how the process ended: "stopped", or a fault. */
+  readonly terminate: () => Promise<string>
   readonly stop: () => Promise<void>
 }
 
@@ -65,10 +69,10 @@
   }
   child.stdout.on("data", keep)
   child.stderr.on("data", keep)
-  const gone = new Promise<void>(resolve => {
+  const gone = new Promise<string>(resolve => {
     child.once("close", (code, signal) => {
       ended = `ended by ${signal ?? `code ${code}`}: ${output}`
-      resolve()
+      resolve(code === 0 ? "stopped" : ended)
     })
   })
 
@@ -95,6 +99,13 @@
       if (peakDescriptors > usable) faults.push(`descriptors: ${peakDescriptors} of ${usable}`)
       return faults
     },
+    async terminate() {
+      if (ended === undefined) child.kill("SIGTERM")
+      const limit = setTimeout(() => child.kill("SIGKILL"), STOP_LIMIT_MS)
+      const end = await gone
+      clearTimeout(limit)
+      return end
+    },
     async stop() {
       clearInterval(timer)
       if (ended === undefined) child.kill("SIGKILL")
--- a/test/support/fakestore.ts
+++ b/test/support/fakestore.ts
@@ -31,6 +31,8 @@
   readonly paginateLists: (pages: number, delay: Milliseconds) => void
   /** Lets watch calls of the caller end without changes, whatever its other calls get. */
   readonly deafenWatches: (caller: string) => void
+  /** How long the store takes for each read of a single key and each commit, beside other delays. */
+  readonly setLatency: (latency: Milliseconds) => void
   /** Delays the answers to the caller's commits, which take effect at once. */
   readonly delayCommits: (delay: Milliseconds, caller: string) => void
   readonly put: (key: string, value: string) => void
@@ -60,6 +62,7 @@
   let commitCount = 0
   const rejections: string[] = []
   let defaultMode: StoreMode = "up"
+  let latency: Milliseconds = 0
   let listsFail = false
   let listPages = {count: 1, delay: 0}
   const callersWithoutLists = new Set<string>()
@@ -119,7 +122,7 @@
       currentMode() === "up" || currentMode() === "losing" || currentMode() === "late"
     return {
       async read(key) {
-        await sleep(clock, ANSWER_DELAY_MS)
+        await sleep(clock, ANSWER_DELAY_MS + latency)
         return isReadable() ? ok(items.get(key)) : fail(currentMode())
       },
       async list(prefix, onPage) {
@@ -148,7 +151,7 @@
         }
       },
       async commit(transaction) {
-        await sleep(clock, ANSWER_DELAY_MS / 2)
+        await sleep(clock, ANSWER_DELAY_MS / 2 + latency)
         const mode = currentMode()
         if (mode === "refusing" || mode === "silent") return fail(mode)
         if (mode === "late") {
@@ -170,6 +173,9 @@
       else if (mode === "up") modeByCaller.delete(caller)
       else modeByCaller.set(caller, mode)
     },
+    setLatency(next) {
+      latency = next
+    },
     failLists(failing, caller) {
       if (caller === undefined) listsFail = failing
       else if (failing) callersWithoutLists.add(caller)
