What is read from all clients in one turn of the event loop is bounded

Callers saw: with 300 clients that send 240,000 bytes each in chunks of one byte, single turns of the leader's event loop took 1.5 and 5.0 s (the users, on arm64), its calls to the store failed, and it was replaced.

Cause: a connection waited for its turn only after it had sent 500 pieces, so in one turn up to 64 KiB of each connection were parsed, at one to two microseconds a piece. Bodies that nobody reads did not count at all.

Now pieces, requests and bytes of all connections count in one sum. Once a turn has used its units, all connections are held, and go on a few at a time, those first that have taken least since their last answer; a held connection is not read in the same turn, since its handle is stopped. A turn exceeds its units by one read. Turns are counted (`crowded_turns`) and logged once a second (`clients-held`).

On x86-64 300 and 800 such clients depose no leader before or after the change (lead.test), so the users' replaced leader is not reproduced here.

--- a/src/callers/bodyreader.ts
+++ b/src/callers/bodyreader.ts
@@ -5,7 +5,9 @@
 import type {IncomingMessage} from "node:http"
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {BodyBudget} from "./bodybudget.js"
-import {createTurns} from "./turns.js"
+import {unitsOfPiece} from "./readingorder.js"
+import {createReadingTurns} from "./turns.js"
+import type {ReadingTurns} from "./turns.js"
 
 export type BodyOutcome =
   /** `release` has to be called once the request is answered. */
@@ -19,16 +21,14 @@
 }
 
 const FIRST_CAPACITY = 4096
-/** A body that came in so many pieces waits until other connections have had their turn. */
-const PIECES_PER_TURN = 500
 const EMPTY = Buffer.alloc(0)
 
 export function createBodyReader(
   clock: Pick<Clock, "now" | "after">,
   budget: BodyBudget,
   onRefused: (reason: "too-large" | "no-room" | "too-slow") => void = () => undefined,
+  turns: Pick<ReadingTurns, "charge"> = createReadingTurns(),
 ): BodyReader {
-  const waitForTurn = createTurns()
   return {
     read: (request, limit, timeout) =>
       new Promise(resolve => {
@@ -41,7 +41,6 @@
         let buffer: Buffer = EMPTY
         let length = 0
         let finished = false
-        let pieces = 0
         const share = budget.open(clock.now(), () => finish({type: "no-room"}))
         const cancelTimeout =
           timeout === undefined ? undefined : clock.after(timeout, () => finish({type: "too-slow"}))
@@ -60,8 +59,7 @@
         }
 
         function take(chunk: Buffer): void {
-          pieces += 1
-          if (pieces === PIECES_PER_TURN) waitForTurn(request.socket, () => (pieces = 0))
+          turns.charge(request.socket, unitsOfPiece(chunk.length))
           const needed = length + chunk.length
           if (needed > limit) {
             finish({type: "too-large"})
--- a/src/callers/guard.ts
+++ b/src/callers/guard.ts
@@ -12,7 +12,8 @@
 import type {BodyReader} from "./bodyreader.js"
 import {chooseConnectionToClose} from "./crowding.js"
 import type {ClientLimits} from "./limits.js"
-import {createTurns} from "./turns.js"
+import {REQUEST_UNITS, TURN_UNITS, unitsOfPiece} from "./readingorder.js"
+import {createReadingTurns} from "./turns.js"
 
 /** Why a client was refused or its connection closed. */
 export type RefusalReason =
@@ -26,6 +27,8 @@
   /** Watches the connections of the server. For TLS the event is `secureConnection`. */
   readonly attach: (server: Server, event?: "connection" | "secureConnection") => void
   readonly bodies: BodyReader
+  /** Drops the body of a request that is not read. */
+  readonly discard: (request: IncomingMessage) => void
   /** Number of requests that were read and have not been answered. */
   readonly openRequests: () => number
   /** Gauges and counters for the metrics. */
@@ -45,8 +48,6 @@
   busy: boolean
   /** Requests that were sent ahead. */
   readonly queue: Waiting[]
-  /** The connection waits for its turn to be read. */
-  held: boolean
   /** Bytes of answers that the client has taken, and when that last changed. */
   taken: number
   takenAt: Milliseconds
@@ -76,22 +77,21 @@
   const unreported = new Map<RefusalReason, number>()
   const budget = createBodyBudget(limits.bodyBytes)
   let openRequests = 0
+  /** Crowded turns that the log has told of. */
+  let reportedTurns = 0
 
   function count(reason: RefusalReason): void {
     refusals.set(reason, (refusals.get(reason) ?? 0) + 1)
     unreported.set(reason, (unreported.get(reason) ?? 0) + 1)
   }
 
-  const bodies = createBodyReader(clock, budget, count)
-  const waitForTurn = createTurns()
+  const turns = createReadingTurns()
+  const bodies = createBodyReader(clock, budget, count, turns)
 
-  /** Requests sent ahead stay in memory until their connection is closed, so no other is read before that. */
-  function holdOthers(): void {
-    for (const connection of connections.values()) {
-      if (connection.held) continue
-      connection.held = true
-      waitForTurn(connection.socket, () => (connection.held = false))
-    }
+  /** Drops what comes of a body that nobody reads, which would wait in pieces, each of which costs more than its bytes. */
+  function discard(request: IncomingMessage): void {
+    if (request.listenerCount("data") > 0) return
+    request.on("data", (chunk: Buffer) => turns.charge(request.socket, unitsOfPiece(chunk.length)))
   }
 
   function close(connection: Connection, reason: RefusalReason): void {
@@ -114,7 +114,6 @@
       answered: false,
       busy: false,
       queue: [],
-      held: false,
       taken: 0,
       takenAt: now,
     }
@@ -128,6 +127,7 @@
       close(victim, "connections")
     }
     connections.set(socket, connection)
+    turns.add(socket)
     socket.once("close", () => forget(connection))
   }
 
@@ -135,11 +135,15 @@
     connection.busy = true
     connection.waitingSince = request.complete || !hasBody(request) ? undefined : clock.now()
     request.once("end", () => (connection.waitingSince = undefined))
-    response.once("prefinish", () => (connection.waitingSince = clock.now()))
+    response.once("prefinish", () => {
+      connection.waitingSince = clock.now()
+      if (!request.complete) discard(request)
+    })
     response.once("close", () => {
       if (!connections.has(connection.socket)) return
       connection.busy = false
       connection.answered ||= response.writableFinished
+      if (response.writableFinished) turns.answered(connection.socket)
       connection.waitingSince = clock.now()
       openRequests -= 1
       const next = connection.queue.shift()
@@ -154,9 +158,11 @@
     const connection = connections.get(request.socket)
     // The parser goes on to the end of what it has read, also after the connection is closed.
     if (!connection || request.socket.destroyed) return
+    turns.charge(request.socket, REQUEST_UNITS)
     if (connection.busy && (hasBody(request) || connection.queue.length >= limits.requestsAhead)) {
       close(connection, "requests-ahead")
-      holdOthers()
+      // The requests stay in memory until their connection is closed, so no other is read before that.
+      turns.charge(request.socket, TURN_UNITS)
       return
     }
     openRequests += 1
@@ -175,8 +181,16 @@
         connection.takenAt = now
       } else if (now - connection.takenAt >= limits.unreadTime) close(connection, "unread-answer")
     }
-    if (unreported.size === 0) return
     const seen = {connections: connections.size, bodyBytes: budget.used(), openRequests}
+    const crowdedTurns = turns.crowdedTurns()
+    if (crowdedTurns > reportedTurns) {
+      log.info(
+        {event: "clients-held", turns: crowdedTurns - reportedTurns, ...seen},
+        "clients sent more than is read in one turn of the event loop",
+      )
+      reportedTurns = crowdedTurns
+    }
+    if (unreported.size === 0) return
     log.warn(
       {event: "clients-refused", ...Object.fromEntries(unreported), ...seen},
       "clients outside the limits were refused",
@@ -204,10 +218,12 @@
       server.once("close", () => clearInterval(timer))
     },
     bodies,
+    discard,
     openRequests: () => openRequests,
     counts: () => ({
       client_connections: connections.size,
       body_bytes: budget.used(),
+      crowded_turns: turns.crowdedTurns(),
       ...Object.fromEntries(
         [...refusals].map(([reason, total]) => [`refused_${reason.replaceAll("-", "_")}`, total]),
       ),
--- a/src/callers/turns.ts
+++ b/src/callers/turns.ts
@@ -1,35 +1,107 @@
 /**
- * Lets one connection after another go on reading, one in each turn of the event loop. Very small chunks and requests sent
- * ahead take far more processor time and memory than other bytes; timers, ordinary callers and the closing of
- * connections, which frees their memory, come in between.
+ * Bounds what is read from clients in one turn of the event loop, so that timers, peers, the store and the closing of
+ * connections, which frees their memory, come in between. Once the units of a turn are used up, all connections are
+ * held, and go on a few in each turn, in the order of `readingorder.ts`. What a connection has read already is parsed to
+ * its end, so a turn exceeds its units by one read, which is 64 KiB at the most.
  */
 import type {Socket} from "node:net"
+import {chooseToRead, TURN_UNITS} from "./readingorder.js"
 
-export type WaitForTurn = (socket: Socket, goOn: () => void) => void
+export interface ReadingTurns {
+  /** Lets the connection take part from its beginning on. */
+  readonly add: (socket: Socket) => void
+  /** Counts what was taken from the connection. */
+  readonly charge: (socket: Socket, units: number) => void
+  /** A request of the connection has been answered. */
+  readonly answered: (socket: Socket) => void
+  /** Number of turns at whose end connections were held. */
+  readonly crowdedTurns: () => number
+}
+
+interface Reading {
+  readonly socket: Socket
+  readonly number: number
+  taken: number
+  held: boolean
+}
 
-export function createTurns(): WaitForTurn {
-  const waiting: (() => void)[] = []
+/** Connections that go on together. Most of those that are held have sent nothing. */
+const RELEASED_TOGETHER = 16
 
-  function next(): void {
-    waiting.shift()?.()
-    if (waiting.length > 0) schedule()
+export function createReadingTurns(): ReadingTurns {
+  const readings = new Map<Socket, Reading>()
+  let lastNumber = 0
+  let spent = 0
+  let endsTurn = false
+  let isCrowded = false
+  /** The units of this turn are used up, and all connections are held. */
+  let isTurnOver = false
+  let newestFirst = false
+  let crowdedTurns = 0
+
+  function hold(reading: Reading): void {
+    if (reading.held) return
+    reading.held = true
+    reading.socket.pause()
   }
 
-  /** Connections are closed at the end of a turn, after the first of the two callbacks. */
-  function schedule(): void {
-    setImmediate(() => setImmediate(next))
+  function release(reading: Reading): void {
+    reading.held = false
+    reading.socket.resume()
   }
 
-  return (socket, goOn) => {
-    // With each piece of a body that is taken, its request resumes the socket.
-    const hold = (): void => void socket.pause()
-    socket.on("resume", hold)
-    socket.pause()
-    waiting.push(() => {
-      socket.off("resume", hold)
-      goOn()
-      socket.resume()
+  function add(socket: Socket): Reading {
+    lastNumber += 1
+    const reading: Reading = {socket, number: lastNumber, taken: 0, held: false}
+    readings.set(socket, reading)
+    socket.once("close", () => readings.delete(socket))
+    // The server resumes the socket with each piece of a body that is taken, and when it begins to read it. A pause that
+    // came before the event does not stop the reading, so the socket is resumed once more in that case.
+    socket.on("resume", () => {
+      if (!reading.held) return
+      if (socket.readableFlowing === true) socket.pause()
+      else socket.resume()
     })
-    if (waiting.length === 1) schedule()
+    if (isCrowded) hold(reading)
+    return reading
+  }
+
+  function scheduleEnd(): void {
+    if (endsTurn) return
+    endsTurn = true
+    setImmediate(endTurn)
+  }
+
+  function endTurn(): void {
+    endsTurn = false
+    isTurnOver = false
+    spent = 0
+    if (!isCrowded) return
+    crowdedTurns += 1
+    const waiting = [...readings.values()].filter(({held}) => held)
+    for (const reading of chooseToRead(waiting, RELEASED_TOGETHER, newestFirst)) release(reading)
+    newestFirst = !newestFirst
+    isCrowded = waiting.length > RELEASED_TOGETHER
+    if (isCrowded) scheduleEnd()
+  }
+
+  return {
+    add: socket => void add(socket),
+    charge(socket, units) {
+      spent += units
+      // The parser goes on to the end of what it has read, also after the connection is closed.
+      const reading = readings.get(socket) ?? (socket.destroyed ? undefined : add(socket))
+      if (reading) reading.taken += units
+      scheduleEnd()
+      if (spent < TURN_UNITS || isTurnOver) return
+      isTurnOver = true
+      isCrowded = true
+      for (const other of readings.values()) hold(other)
+    },
+    answered(socket) {
+      const reading = readings.get(socket)
+      if (reading) reading.taken = 0
+    },
+    crowdedTurns: () => crowdedTurns,
   }
 }
--- a/src/entry/callerserver.ts
+++ b/src/entry/callerserver.ts
@@ -279,8 +279,7 @@
     const match = SERVICE_PATH.exec(incoming.url ?? "")
     if (match) void serveRequest(incoming, outgoing, match)
     else {
-      // A body that nobody reads would wait in pieces, each of which costs more than its bytes.
-      if (incoming.method !== "POST") incoming.resume()
+      if (incoming.method !== "POST") ports.guard.discard(incoming)
       void applicationListener(incoming, outgoing)
     }
   })
--- a/src/platform/frontend.ts
+++ b/src/platform/frontend.ts
@@ -96,6 +96,7 @@
   response: ServerResponse,
   answer: Answer,
   isDraining: boolean,
+  guard: ClientGuard,
 ): void {
   const content = JSON.stringify(answer.body)
   const keep = canKeepConnection(request) && (request.complete || !CLOSING_STATUSES.has(answer.status))
@@ -105,7 +106,7 @@
     ...answer.headers,
     ...(isDraining || !keep ? {Connection: "close"} : {}),
   })
-  request.resume()
+  guard.discard(request)
   if (keep) response.end(content)
   else endAndClose(request, response, content)
 }
@@ -231,15 +232,14 @@
   }
 
   function serve(request: IncomingMessage, response: ServerResponse): void {
-    // A body that nobody reads would wait in pieces, each of which costs more than its bytes.
-    if (request.method !== "POST") request.resume()
+    if (request.method !== "POST") guard.discard(request)
     handle(request)
       .catch((error: unknown) => {
         log.error({event: "request-failed", reason: describeError(error)}, "request handler failed")
         return refusal(502, "The request could not be handled.")
       })
       .then(answer => {
-        writeAnswer(request, response, answer, ports.isDraining())
+        writeAnswer(request, response, answer, ports.isDraining(), guard)
       })
       .catch((error: unknown) => {
         log.warn({event: "answer-failed", reason: describeError(error)}, "response could not be sent")
