No connection is read while another one is being closed for its requests ahead

Callers saw: an entry instance that serves by TLS ended for want of memory (80 MB of heap) when 100 clients sent requests ahead without a host.

Cause: what Node has parsed of a connection, some thousand requests of a read of 64 KiB, stays in memory until the connection is closed. By TLS that takes more turns of the event loop than the next connection waited for, so the requests of several connections were in memory at once.

Now the turns wait until each destroyed connection is closed, for at most 100 turns.

--- a/src/callers/turns.ts
+++ b/src/callers/turns.ts
@@ -27,6 +27,8 @@
 
 /** Connections that go on together. Most of those that are held have sent nothing. */
 const RELEASED_TOGETHER = 16
+/** More turns than the closing of a connection takes. */
+const MAX_CLOSING_TURNS = 100
 
 export function createReadingTurns(): ReadingTurns {
   const readings = new Map<Socket, Reading>()
@@ -38,6 +40,8 @@
   let isTurnOver = false
   let newestFirst = false
   let crowdedTurns = 0
+  /** Turns for which connections have been waited for that are being closed. */
+  let closingTurns = 0
 
   function hold(reading: Reading): void {
     if (reading.held) return
@@ -78,7 +82,15 @@
     spent = 0
     if (!isCrowded) return
     crowdedTurns += 1
-    const waiting = [...readings.values()].filter(({held}) => held)
+    const all = [...readings.values()]
+    // What was read of a destroyed connection stays in memory until it is closed, by TLS some turns later.
+    if (closingTurns < MAX_CLOSING_TURNS && all.some(({socket}) => socket.destroyed)) {
+      closingTurns += 1
+      scheduleEnd()
+      return
+    }
+    closingTurns = 0
+    const waiting = all.filter(({held}) => held)
     for (const reading of chooseToRead(waiting, RELEASED_TOGETHER, newestFirst)) release(reading)
     newestFirst = !newestFirst
     isCrowded = waiting.length > RELEASED_TOGETHER
