A connection counts from the beginning of its TLS handshake

Callers saw: 700 clients that connect to the TLS port of an entry instance and send nothing took more descriptors than the machine has; ordinary callers got no connection.

Cause: the limit on connections counted them from the end of the handshake. Node's own limit on the time of a handshake is 120 s.

Now a connection counts once it is accepted, may be closed for a newer one like any that was never answered, and has 20 s for its handshake, as for a head.

Tests: clientguard.test; entrytls.test plays all crowds by TLS.

--- a/src/callers/guard.ts
+++ b/src/callers/guard.ts
@@ -5,6 +5,7 @@
  */
 import type {IncomingMessage, RequestListener, Server, ServerOptions, ServerResponse} from "node:http"
 import type {Socket} from "node:net"
+import type {TlsOptions, TLSSocket} from "node:tls"
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
 import {createBodyBudget} from "./bodybudget.js"
@@ -20,12 +21,12 @@
   "connections" | "requests-ahead" | "unread-answer" | "too-large" | "no-room" | "too-slow"
 
 export interface ClientGuard {
-  /** Options for the server that is to be guarded. */
-  readonly options: ServerOptions
+  /** Options for the server that is to be guarded, by TLS or without. */
+  readonly options: ServerOptions & Pick<TlsOptions, "handshakeTimeout">
   /** Wraps the handler of the server's requests. */
   readonly listener: (handler: RequestListener) => RequestListener
-  /** Watches the connections of the server. For TLS the event is `secureConnection`. */
-  readonly attach: (server: Server, event?: "connection" | "secureConnection") => void
+  /** Watches the connections of the server. */
+  readonly attach: (server: Server, security?: "plain" | "tls") => void
   readonly bodies: BodyReader
   /** Drops the body of a request that is not read. */
   readonly discard: (request: IncomingMessage) => void
@@ -58,6 +59,10 @@
 const BAD_REQUEST = 400
 const EXPECTATION_FAILED = 417
 
+function clientOf({remoteAddress, remotePort}: Socket): string {
+  return `${remoteAddress} ${remotePort}`
+}
+
 function hasBody({headers}: IncomingMessage): boolean {
   return headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0
 }
@@ -73,6 +78,8 @@
   log: Logger,
 ): ClientGuard {
   const connections = new Map<Socket, Connection>()
+  /** Connections whose TLS handshake has not ended, by the client's address and port. */
+  const handshakes = new Map<string, Socket>()
   const refusals = new Map<RefusalReason, number>()
   const unreported = new Map<RefusalReason, number>()
   const budget = createBodyBudget(limits.bodyBytes)
@@ -106,7 +113,7 @@
     connection.queue.length = 0
   }
 
-  function add(socket: Socket): void {
+  function keep(socket: Socket): void {
     const now = clock.now()
     const connection: Connection = {
       socket,
@@ -117,18 +124,51 @@
       taken: 0,
       takenAt: now,
     }
+    connections.set(socket, connection)
+    socket.once("close", () => forget(connection))
+  }
+
+  /** Takes a new connection, if need be in the place of another one. Returns false if it is closed instead. */
+  function accept(socket: Socket): boolean {
     if (connections.size >= limits.connections) {
       const victim = chooseConnectionToClose(connections.values())
       if (!victim) {
         count("connections")
         socket.destroy()
-        return
+        return false
       }
       close(victim, "connections")
     }
-    connections.set(socket, connection)
-    turns.add(socket)
-    socket.once("close", () => forget(connection))
+    keep(socket)
+    return true
+  }
+
+  function accepted(socket: Socket): void {
+    if (accept(socket)) turns.add(socket)
+  }
+
+  /** A connection counts from its beginning: the handshake may never end. */
+  function acceptHandshake(socket: Socket): void {
+    if (!accept(socket)) return
+    const client = clientOf(socket)
+    handshakes.set(client, socket)
+    socket.once("close", () => {
+      if (handshakes.get(client) === socket) handshakes.delete(client)
+    })
+  }
+
+  function endHandshake(secured: TLSSocket): void {
+    const client = clientOf(secured)
+    const socket = handshakes.get(client)
+    const connection = socket && connections.get(socket)
+    handshakes.delete(client)
+    if (!connection) {
+      secured.destroy()
+      return
+    }
+    connections.delete(connection.socket)
+    keep(secured)
+    turns.add(secured)
   }
 
   function begin(connection: Connection, {request, response}: Waiting, handler: RequestListener): void {
@@ -203,13 +243,15 @@
       maxHeaderSize: limits.headBytes,
       headersTimeout: limits.headTime,
       requestTimeout: limits.requestTime,
+      handshakeTimeout: limits.headTime,
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
       // Requests without the header have to count like others. They are answered with 400 here.
       requireHostHeader: false,
     },
     listener: handler => (request, response) => take(handler, request, response),
-    attach(server, event = "connection") {
-      server.on(event, add)
+    attach(server, security = "plain") {
+      if (security === "plain") server.on("connection", accepted)
+      else server.on("connection", acceptHandshake).on("secureConnection", endHandshake)
       server.on("checkExpectation", (request: IncomingMessage, response: ServerResponse) =>
         take((_request, refused) => answerEmpty(refused, EXPECTATION_FAILED), request, response),
       )
--- a/src/entry/callerserver.ts
+++ b/src/entry/callerserver.ts
@@ -284,7 +284,7 @@
     }
   })
   const server = createListener(handle, tls, ports.guard)
-  ports.guard.attach(server, tls ? "secureConnection" : "connection")
+  ports.guard.attach(server, tls ? "tls" : "plain")
 
   server.on("connection", (socket: Socket) => {
     sockets.add(socket)
