Of the problems of a job only the first 20 are described

Callers saw: the leader ended for want of memory (SIGABRT, heap of 160 MB) when 300 clients handed in jobs of 262,000 bytes that name 131,000 steps which are not earlier ones, and ordinary callers were cut off.

Cause: each such name became a sentence of the answer and of a log line, so a body came to some 30 times its length, twice, and the answer waited for a client that did not read it.

Now the search for problems ends with the 20th, and the answer says that there are more.

--- a/src/platform/jobrequest.ts
+++ b/src/platform/jobrequest.ts
@@ -1,4 +1,7 @@
-/** Decodes and validates a submitted job. All problems are collected, each with the field that it concerns. */
+/**
+ * Decodes and validates a submitted job. Problems are collected up to a limit, each with the field that it concerns: a
+ * body of the longest length can have so many that their description would be many times as long.
+ */
 import {err, ok} from "neverthrow"
 import type {Result} from "neverthrow"
 import {estimateMemory, MAX_JOB_BYTES} from "../pipelines/footprint.js"
@@ -10,6 +13,8 @@
 const PAYLOAD_LIMIT_BYTES = 4000
 /** Limit on the tasks of a step and on the occurrences of a job, so that a request cannot exhaust the memory. */
 const MAX_COUNT = 100_000
+/** More than anybody reads at once. */
+const MAX_PROBLEMS = 20
 
 /** The properties of a job that come from its path, its caller and the clock instead of the request body. */
 export interface JobIdentity {
@@ -44,26 +49,43 @@
   }
 }
 
-function findStepProblems(value: unknown, index: number): readonly string[] {
+function* findStepProblems(value: unknown, index: number): Generator<string, void> {
   const fields = asObject(value)
   const field = `Pipeline[${index}]`
-  const problems: string[] = []
-  if (!isWholeNumber(fields.Count, 1)) problems.push(`${field}.Count is not a whole number of at least 1.`)
+  if (!isWholeNumber(fields.Count, 1)) yield `${field}.Count is not a whole number of at least 1.`
   for (const name of ["Cpu", "MemMb", "Gpu"]) {
     const demand = fields[name]
     if (demand !== undefined && !(typeof demand === "number" && demand >= 0))
-      problems.push(`${field}.${name} is not a number of at least 0.`)
+      yield `${field}.${name} is not a number of at least 0.`
   }
   for (const earlier of asArray(fields.After)) {
     if (!isWholeNumber(earlier, 0) || earlier >= index)
-      problems.push(`${field}.After names a step that is not an earlier one.`)
+      yield `${field}.After names a step that is not an earlier one.`
+  }
+}
+
+function* findProblems(fields: JsonObject): Generator<string, void> {
+  const steps = asArray(fields.Pipeline)
+  for (const [index, step] of steps.entries()) yield* findStepProblems(step, index)
+  if (steps.length === 0) yield "Pipeline is not a list of at least one step."
+  if (Buffer.byteLength(asString(fields.Spec)) > PAYLOAD_LIMIT_BYTES)
+    yield `Spec is longer than ${PAYLOAD_LIMIT_BYTES} bytes.`
+  const repeats = asNumber(fields.RepeatCount)
+  if (repeats !== 0 && !isWholeNumber(repeats, 0)) yield "RepeatCount is not a whole number."
+}
+
+function listProblems(fields: JsonObject): readonly string[] {
+  const problems: string[] = []
+  for (const problem of findProblems(fields)) {
+    if (problems.length === MAX_PROBLEMS) return [...problems, "There are more problems."]
+    problems.push(problem)
   }
   return problems
 }
 
 /**
- * Decodes the request body of a submitted job, whose record may take up to `longestRecord` bytes. The error lists all
- * problems.
+ * Decodes the request body of a submitted job, whose record may take up to `longestRecord` bytes. The error lists the
+ * first problems.
  */
 export function readJobRequest(
   body: string,
@@ -72,14 +94,10 @@
 ): Result<PipelineJob, readonly string[]> {
   const fields = asObject(parseJson(body))
   const steps = asArray(fields.Pipeline)
-  const problems = steps.flatMap((step, index) => findStepProblems(step, index))
-  if (steps.length === 0) problems.push("Pipeline is not a list of at least one step.")
+  const problems = listProblems(fields)
+  if (problems.length > 0) return err(problems)
   const payload = asString(fields.Spec)
-  if (Buffer.byteLength(payload) > PAYLOAD_LIMIT_BYTES)
-    problems.push(`Spec is longer than ${PAYLOAD_LIMIT_BYTES} bytes.`)
   const repeats = asNumber(fields.RepeatCount)
-  if (repeats !== 0 && !isWholeNumber(repeats, 0)) problems.push("RepeatCount is not a whole number.")
-  if (problems.length > 0) return err(problems)
   const job = {
     ...identity,
     payload,
--- a/test/clients/lead.test.ts
+++ b/test/clients/lead.test.ts
@@ -6,7 +6,7 @@
 import type {ExecutionContext} from "ava"
 import {gatherApart} from "./apart.js"
 import type {CrowdApart} from "./apart.js"
-import {chunked, pipelined} from "./crowd.js"
+import {chunked, complete, pipelined} from "./crowd.js"
 import type {Script} from "./crowd.js"
 import {BODY_LIMIT, crowdCases, TRIAL_BODY_BYTES, TRIAL_CROWD} from "./crowds.js"
 import {startFleet, ROUTE_HOST} from "./fleetprocesses.js"
@@ -119,6 +119,18 @@
   t.is(fleet.lead()?.term, term)
 })
 
+test.serial("jobs with very many faults keep to the memory of an instance", async t => {
+  const {fleet, leader, term} = await start(t)
+  const numbers = "9,".repeat(BODY_LIMIT / 2 - 100)
+  const body = `{"Pipeline":[{"Count":1,"After":[${numbers}9]}]}`
+  const crowd = await press(t, leader, TRIAL_CROWD, complete(JOB_PATH, ROUTE_HOST, body))
+  await crowd.settled()
+  await holds(t, fleet, "beside the crowd")
+  await crowd.leave()
+  await holds(t, fleet, "after the crowd")
+  t.is(fleet.lead()?.term, term)
+})
+
 test.serial("a pressed leader stops when it is asked to, and others serve", async t => {
   const {fleet, leader} = await start(t)
   const crowd = await press(t, leader, TRIAL_CROWD, BYTES_IN_CHUNKS)
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -286,3 +286,13 @@
     {memoryMebibytes: 0, descriptors: 0, withdrawalLimit: 0, remoteFactor: 1},
   ])
 })
+
+test("of very many problems only the first are described", t => {
+  const references = JSON.stringify([{Count: 1, After: Array.from({length: 100_000}, () => 9)}])
+  const steps = JSON.stringify(Array.from({length: 50_000}, () => ({})))
+  for (const pipeline of [references, steps]) {
+    const problems = readJobRequest(`{"Pipeline":${pipeline}}`, IDENTITY, LONGEST_RECORD)._unsafeUnwrapErr()
+    t.is(problems.length, 21)
+    t.is(problems.at(-1), "There are more problems.")
+  }
+})
