--- a/src/platform/jobrequest.ts
+++ b/src/platform/jobrequest.ts
@@ -11,6 +11,8 @@
 
 /** The longest payload that the platform allows. */
 const PAYLOAD_LIMIT_BYTES = 4000
+/** Limit on the name of a label, a rack or an image; the platform's own have some tens of characters. */
+const MAX_NAME_LENGTH = 1000
 /** Limit on the tasks of a step and on the occurrences of a job, so that a request cannot exhaust the memory. */
 const MAX_COUNT = 100_000
 /** More than anybody reads at once. */
@@ -33,7 +35,7 @@
     count: asNumber(fields.Count),
     demand: readResources(fields),
     estimate: asNumber(fields.EstimateMs),
-    after: asArray(fields.After).map(earlier => asNumber(earlier)),
+    after: [...new Set(asArray(fields.After).map(earlier => asNumber(earlier)))],
     checkpointing: asBoolean(fields.Checkpointing),
     gang: asBoolean(fields.Gang),
     sameRack: asBoolean(fields.SameRack),
@@ -58,6 +60,10 @@
     if (demand !== undefined && !(typeof demand === "number" && demand >= 0))
       yield `${field}.${name} is not a number of at least 0.`
   }
+  for (const name of ["RequiredLabel", "Affinity", "Image"]) {
+    if (asString(fields[name]).length > MAX_NAME_LENGTH)
+      yield `${field}.${name} is longer than ${MAX_NAME_LENGTH} characters.`
+  }
   for (const earlier of asArray(fields.After)) {
     if (!isWholeNumber(earlier, 0) || earlier >= index)
       yield `${field}.After names a step that is not an earlier one.`
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -296,3 +296,17 @@
     t.is(problems.at(-1), "There are more problems.")
   }
 })
+
+test("names of any length, and steps that are named many times, do not make a job large", t => {
+  const step = {Count: 1}
+  const long = "x".repeat(200_000)
+  for (const name of ["RequiredLabel", "Affinity", "Image"]) {
+    const body = JSON.stringify({Pipeline: [{...step, [name]: long}]})
+    t.deepEqual(readJobRequest(body, IDENTITY, LONGEST_RECORD)._unsafeUnwrapErr(), [
+      `Pipeline[0].${name} is longer than 1000 characters.`,
+    ])
+  }
+  const After = Array.from({length: 100_000}, () => 0)
+  const job = readJobRequest(JSON.stringify({Pipeline: [step, {...step, After}]}), IDENTITY, LONGEST_RECORD)
+  t.deepEqual(job._unsafeUnwrap().steps[1]?.after, [0])
+})
