Callers leave connections to the store to the instance

Callers saw: 3,000 requests for unknown jobs, 100 at a time, whose clients left at once, at a leader whose store takes 0.25 s for a call: the lead changed eight times (terms 4 to 12), and the store counted as failing, so that jobs were refused at all instances.

Cause: each such request makes two or three reads of the store, also after its caller has left. They queued for the same 20 connections as the leader's own calls, by which it shows that it leads, and a call that waits for 0.6 s for its connection counts as a failure of the store.

Now calls for callers use 14 of the connections at most. Beyond that they wait while they are expected to be made within a second, by the usual time of a call, and are refused otherwise: 503 with Retry-After, nothing written (`store-calls-refused` in the log, gauge `store_calls_refused`). The wait does not count as an answer of the store.

--- a/src/planner/instance.ts
+++ b/src/planner/instance.ts
@@ -14,6 +14,7 @@
 import type {AdviceRequester} from "./advicedispatcher.js"
 import {createAuthorizer} from "./authorizer.js"
 import type {Authorizer} from "./authorizer.js"
+import {createCallerStore} from "./callerstore.js"
 import {createConfigurationHolder} from "./configurationholder.js"
 import {createConfigurationUpdater} from "./configurationupdater.js"
 import {createIntake} from "./intake.js"
@@ -235,10 +236,11 @@
     acceptChannel: carrier.accept,
   }
 
+  const callerStore = createCallerStore(store, clock, log)
   const intake = createIntake({
     clock,
     log,
-    store,
+    store: callerStore,
     isStoreFailing: () => storeHealth.failingFor() > 0,
     clients,
     leadership,
@@ -261,6 +263,7 @@
       members: leadership.members().length,
       ...authorizer.counts(),
       advice_refused: adviceCaller.countBusy(),
+      store_calls_refused: callerStore.refused(),
       ...planner?.counts(),
     }),
     start() {
--- a/src/planner/intake.ts
+++ b/src/planner/intake.ts
@@ -13,7 +13,8 @@
 import {ANONYMOUS, isForeign, maySee, ownerOf} from "../pipelines/callers.js"
 import type {Caller} from "../pipelines/callers.js"
 import type {PipelineJob} from "../pipelines/model.js"
-import type {KeyValueStore, StoredItem} from "../pipelines/ports.js"
+import type {StoredItem} from "../pipelines/ports.js"
+import type {CallerStorePort} from "./callerstore.js"
 import type {ShownState} from "./jobtable.js"
 import type {Leadership} from "./leadership.js"
 import type {Planner} from "./planner.js"
@@ -57,7 +58,7 @@
 export interface IntakePorts {
   readonly clock: Clock
   readonly log: Logger
-  readonly store: KeyValueStore
+  readonly store: CallerStorePort
   /** True while calls of this instance to the store fail or are late. */
   readonly isStoreFailing: () => boolean
   readonly clients: FleetClients
--- a/test/clients/lead.test.ts
+++ b/test/clients/lead.test.ts
@@ -4,7 +4,7 @@
  */
 import test from "ava"
 import type {ExecutionContext} from "ava"
-import {gatherApart} from "./apart.js"
+import {gatherApart, passByApart} from "./apart.js"
 import type {CrowdApart} from "./apart.js"
 import {chunked, complete, pipelined} from "./crowd.js"
 import type {Script} from "./crowd.js"
@@ -21,6 +21,8 @@
 /** Nearly as many connections as such a machine has for clients. */
 const MOST_CLIENTS = 800
 const MEBIBYTE = 2 ** 20
+/** A slow but working store takes up to 0.35 s. */
+const SLOW_STORE_MS = 250
 
 interface PressedFleet extends Lead {
   readonly fleet: FleetOfProcesses
@@ -119,6 +121,20 @@
   t.is(fleet.lead()?.term, term)
 })
 
+test.serial("requests for unknown jobs whose callers leave keep a slow store for the leader", async t => {
+  const {fleet, term, leader} = await start(t)
+  fleet.store.setLatency(SLOW_STORE_MS)
+  const request = `GET ${JOB_PATH} HTTP/1.1\r\nHost: ${ROUTE_HOST}\r\n\r\n`
+  await passByApart(
+    leader.callers,
+    {total: 3000, together: 100},
+    {head: request, part: Buffer.alloc(0), parts: 0},
+  )
+  t.is(fleet.lead()?.term, term, "when the crowd has left")
+  await holds(t, fleet, "after the crowd")
+  t.is(fleet.lead()?.term, term, "after the crowd")
+})
+
 test.serial("jobs with very many faults keep to the memory of an instance", async t => {
   const {fleet, leader, term} = await start(t)
   const numbers = "9,".repeat(BODY_LIMIT / 2 - 100)
