A job that is being stored counts with all of its copies

Callers saw: with the store away, 400 clients with jobs of 2,500 steps (28 KB of text) took an instance to 293 of 210 MiB, and 1,000 that left at once took the leader to 292: their work goes on after them.

Cause: while a job is being stored, its body, the text of it, the job and two or three copies of its record, of 0.8 MB each, are in memory; only the body counted.

Now a body is decoded in the turn in which it is complete and not kept, and the job is counted with three copies in the memory for bodies until it is stored or refused, also when its caller has left. Without room it is refused with 503 and Retry-After; it has reached nobody.

--- a/src/callers/bodyreader.ts
+++ b/src/callers/bodyreader.ts
@@ -10,8 +10,16 @@
 import type {ReadingTurns} from "./turns.js"
 
 export type BodyOutcome =
-  /** `release` has to be called once the request is answered. */
-  | {readonly type: "read"; readonly body: Buffer; readonly release: () => void}
+  /**
+   * `release` has to be called once the request is answered. `hold` asks for as many bytes in all as the request takes
+   * until then; if there is no room for them, the request has to be refused.
+   */
+  | {
+      readonly type: "read"
+      readonly body: Buffer
+      readonly hold: (bytes: number) => boolean
+      readonly release: () => void
+    }
   /** Longer than the limit, announced or sent; no room among the bodies in hand; late; the connection has ended. */
   | {readonly type: "too-large" | "no-room" | "too-slow" | "cut"}
 
@@ -81,7 +89,12 @@
 
         function end(): void {
           share.settle()
-          finish({type: "read", body: buffer.subarray(0, length), release: share.release})
+          const hold = (bytes: number): boolean => {
+            const hasRoom = share.grow(bytes, clock.now())
+            if (!hasRoom) onRefused("no-room")
+            return hasRoom
+          }
+          finish({type: "read", body: buffer.subarray(0, length), hold, release: share.release})
         }
 
         function cut(): void {
--- a/src/platform/frontend.ts
+++ b/src/platform/frontend.ts
@@ -5,13 +5,15 @@
 import {createServer} from "node:http"
 import type {IncomingMessage, Server, ServerResponse} from "node:http"
 import {canKeepConnection, endAndClose} from "../callers/answering.js"
+import type {BodyOutcome} from "../callers/bodyreader.js"
 import type {ClientGuard} from "../callers/guard.js"
 import type {Milliseconds} from "../core/clock.js"
 import {describeError} from "../core/errors.js"
 import type {Logger} from "../core/logger.js"
 import type {Caller} from "../pipelines/callers.js"
+import {descriptionMemory} from "../pipelines/footprint.js"
 import {findQueue} from "../pipelines/model.js"
-import type {FleetConfiguration, Queue} from "../pipelines/model.js"
+import type {FleetConfiguration, PipelineJob, Queue} from "../pipelines/model.js"
 import type {Authorizer} from "../planner/authorizer.js"
 import type {Intake} from "../planner/intake.js"
 import {readJobRequest} from "./jobrequest.js"
@@ -43,6 +45,8 @@
 const KEEP_ALIVE_MS: Milliseconds = 65_000
 /** When there is no room for a body, which bodies that stop halfway give up soon. */
 const BODY_RETRY_MS: Milliseconds = 1000
+/** A job, its record, and the record on its way to the leader or to the store. */
+const JOB_COPIES = 3
 /** After these, the rest of a body is not waited for. */
 const CLOSING_STATUSES: ReadonlySet<number> = new Set([413, 503])
 
@@ -59,6 +63,9 @@
   readonly key: string
 }
 
+/** What a body has come to. `release` has to be called once the job is stored or refused. */
+type DecodedJob = {readonly job: PipelineJob; readonly release: () => void} | {readonly refused: Answer}
+
 /** The response to a caller. */
 interface Answer {
   readonly status: number
@@ -126,34 +133,51 @@
     return job === "" || JOB_ID.test(job) ? {queue, job, bodyLimit: current.bodyLimit} : "not-found"
   }
 
-  async function submit(request: IncomingMessage, call: Call): Promise<Answer> {
-    const {bodyLimit} = call
-    const outcome = await guard.bodies.read(request, bodyLimit)
-    if (outcome.type === "too-large") return refusal(413, `The body is longer than ${bodyLimit} bytes.`)
-    if (outcome.type !== "read") return unavailable(BODY_RETRY_MS)
-    try {
-      return await submitBody(outcome.body.toString("utf8"), request, call)
-    } finally {
-      outcome.release()
+  /** Decodes the body in the same turn, so that it is not kept while the job is being stored. */
+  function decodeBody(outcome: BodyOutcome, call: Call): DecodedJob {
+    const {queue, job: id, key, bodyLimit} = call
+    if (outcome.type === "too-large")
+      return {refused: refusal(413, `The body is longer than ${bodyLimit} bytes.`)}
+    if (outcome.type !== "read") return {refused: unavailable(BODY_RETRY_MS)}
+    const {body, hold, release} = outcome
+    const refuse = (refused: Answer): DecodedJob => {
+      release()
+      return {refused}
     }
-  }
-
-  async function submitBody(body: string, request: IncomingMessage, call: Call): Promise<Answer> {
-    const {queue, job: id, key} = call
     // The body may have taken seconds. Once the job is on its way, no refusal could say that it never runs.
     const authorization = authorizer.check(queue, key)
-    if (authorization.type === "refused") return denial(authorization.reason)
+    if (authorization.type === "refused") return refuse(denial(authorization.reason))
     const {workspace} = authorization.caller
-    const job = readJobRequest(body, {id, queue, acceptedAt: wallClock(), workspace}, longestRecord)
+    const identity = {id, queue, acceptedAt: wallClock(), workspace}
+    const job = readJobRequest(body.toString("utf8"), identity, longestRecord)
     if (job.isErr()) {
       log.info(
         {event: "submit-malformed", job: id, queue: queue.name, problems: job.error},
         "submitted job is malformed",
       )
-      return refusal(400, job.error.join(" "))
+      return refuse(refusal(400, job.error.join(" ")))
     }
+    if (!hold(descriptionMemory(job.value) * JOB_COPIES)) return refuse(unavailable(BODY_RETRY_MS))
+    return {job: job.value, release}
+  }
+
+  async function submit(request: IncomingMessage, call: Call): Promise<Answer> {
+    const decoded = await guard.bodies
+      .read(request, call.bodyLimit)
+      .then(outcome => decodeBody(outcome, call))
+    if ("refused" in decoded) return decoded.refused
+    try {
+      return await submitJob(decoded.job, request, call)
+    } finally {
+      decoded.release()
+    }
+  }
+
+  async function submitJob(job: PipelineJob, request: IncomingMessage, call: Call): Promise<Answer> {
+    const {queue, key} = call
+    const {id, workspace} = job
     const startedAt = wallClock()
-    const answer = await intake.submit(job.value, readClientTimeout(request))
+    const answer = await intake.submit(job, readClientTimeout(request))
     const took = wallClock() - startedAt
     log.info(
       {event: "submit", job: id, queue: queue.name, workspace, outcome: answer.type, took},
--- a/test/clients/lead.test.ts
+++ b/test/clients/lead.test.ts
@@ -23,6 +23,8 @@
 const MEBIBYTE = 2 ** 20
 /** A slow but working store takes up to 0.35 s. */
 const SLOW_STORE_MS = 250
+/** Steps of a job whose record nearly fills a value of the store, though its text is short. */
+const MANY_STEPS = 2500
 
 interface PressedFleet extends Lead {
   readonly fleet: FleetOfProcesses
@@ -135,6 +137,44 @@
   t.is(fleet.lead()?.term, term, "after the crowd")
 })
 
+test.serial("jobs whose callers leave while the store is away keep no memory", async t => {
+  const {fleet, follower} = await start(t)
+  const body = JSON.stringify({
+    Spec: "s",
+    Pipeline: Array.from({length: MANY_STEPS}, () => ({Count: 1})),
+  })
+  fleet.store.setMode("silent")
+  for (const instance of [follower, ...fleet.instances.filter(other => other !== follower)]) {
+    // Jobs of different names, so that none is known.
+    const visits = Array.from({length: 10}, (_, index) =>
+      passByApart(
+        instance.callers,
+        {total: 100, together: 50},
+        complete(`/checks/${(index + 1).toString(16).padStart(16, "e")}`, ROUTE_HOST, body),
+      ),
+    )
+    await Promise.all(visits)
+  }
+  fleet.store.setMode("up")
+  await holds(t, fleet, "after the crowds")
+})
+
+test.serial("jobs that wait while the store is away keep to the memory of each instance", async t => {
+  const {fleet} = await start(t)
+  const body = JSON.stringify({
+    Spec: "s",
+    Pipeline: Array.from({length: MANY_STEPS}, () => ({Count: 1})),
+  })
+  fleet.store.setMode("silent")
+  const crowds = await Promise.all(
+    fleet.instances.map(instance => press(t, instance, 400, complete(JOB_PATH, ROUTE_HOST, body))),
+  )
+  await Promise.all(crowds.map(crowd => crowd.settled()))
+  fleet.store.setMode("up")
+  await Promise.all(crowds.map(crowd => crowd.leave()))
+  await holds(t, fleet, "after the crowds")
+})
+
 test.serial("jobs with very many faults keep to the memory of an instance", async t => {
   const {fleet, leader, term} = await start(t)
   const numbers = "9,".repeat(BODY_LIMIT / 2 - 100)
