A caller's time limit counts up to a minute

A caller's header says how long an instance goes on with its request, and its memory is kept as long. Callers wait for some seconds.

--- a/src/platform/frontend.ts
+++ b/src/platform/frontend.ts
@@ -35,6 +35,8 @@
 const JOB_ID = /^[0-9a-f]{16}$/
 /** Client timeout for requests without the deadline header. */
 const DEFAULT_CLIENT_TIMEOUT_MS: Milliseconds = 3000
+/** For requests whose header asks for longer, so that no caller decides how long its request is kept. */
+const LONGEST_CLIENT_TIMEOUT_MS: Milliseconds = 60_000
 const MILLISECONDS_PER_SECOND = 1000
 /**
  * When a caller should retry whose key this instance could not check. Another instance may serve it at once, and this one
@@ -75,7 +77,7 @@
 
 function readClientTimeout(request: IncomingMessage): Milliseconds {
   const value = Number(request.headers["x-lacewingstream-deadline-ms"])
-  return Number.isFinite(value) && value > 0 ? value : DEFAULT_CLIENT_TIMEOUT_MS
+  return value > 0 ? Math.min(value, LONGEST_CLIENT_TIMEOUT_MS) : DEFAULT_CLIENT_TIMEOUT_MS
 }
 
 function refusal(status: number, problem: string): Answer {
