Heads count by their lines, and together while they wait

Callers saw: an entry instance ended for want of memory (SIGABRT, heap of 80 MB) when 100 clients sent 17 requests at once, each with 1,900 header lines of seven bytes.

Cause: a head of 16 KiB may have 2,000 lines, each of which takes over a hundred bytes once it is parsed, and 16 heads of each connection could wait.

Now Node's own limit on header lines is 200, and a request that reaches it is answered with 431, since Node drops the lines beyond it, which may be those that tell of a body. The heads that wait on one connection have 16 KiB together. A head of one line of 15,800 bytes is served as before (calm.test).

--- a/src/callers/guard.ts
+++ b/src/callers/guard.ts
@@ -54,9 +54,12 @@
   takenAt: Milliseconds
 }
 
+/** What a text takes beside its characters. */
+const TEXT_BYTES = 24
 const CHECK_INTERVAL_MS: Milliseconds = 1000
 const TIMEOUT_CHECK_INTERVAL_MS: Milliseconds = 5000
 const BAD_REQUEST = 400
+const HEAD_TOO_LARGE = 431
 const EXPECTATION_FAILED = 417
 
 function clientOf({remoteAddress, remotePort}: Socket): string {
@@ -67,6 +70,11 @@
   return headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0
 }
 
+/** What the head of a request takes while the request waits. */
+function headBytesOf({url = "", rawHeaders}: IncomingMessage): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length, url.length + rawHeaders.length * TEXT_BYTES)
+}
+
 function answerEmpty(response: ServerResponse, status: number): void {
   response.writeHead(status, {Connection: "close", "Content-Length": 0})
   response.end()
@@ -189,17 +197,26 @@
       const next = connection.queue.shift()
       if (next) begin(connection, next, handler)
     })
-    if (request.headers.host === undefined && request.httpVersion === "1.1")
+    // Node drops the lines beyond its limit, which may be those that tell of a body.
+    if (request.rawHeaders.length >= 2 * limits.headLines) answerEmpty(response, HEAD_TOO_LARGE)
+    else if (request.headers.host === undefined && request.httpVersion === "1.1")
       answerEmpty(response, BAD_REQUEST)
     else handler(request, response)
   }
 
+  /** Whether the request may wait until those before it on its connection are answered. */
+  function mayWait({queue}: Connection, request: IncomingMessage): boolean {
+    if (hasBody(request) || queue.length >= limits.requestsAhead) return false
+    const bytes = queue.reduce((sum, waiting) => sum + headBytesOf(waiting.request), headBytesOf(request))
+    return bytes <= limits.headBytes
+  }
+
   function take(handler: RequestListener, request: IncomingMessage, response: ServerResponse): void {
     const connection = connections.get(request.socket)
     // The parser goes on to the end of what it has read, also after the connection is closed.
     if (!connection || request.socket.destroyed) return
     turns.charge(request.socket, REQUEST_UNITS)
-    if (connection.busy && (hasBody(request) || connection.queue.length >= limits.requestsAhead)) {
+    if (connection.busy && !mayWait(connection, request)) {
       close(connection, "requests-ahead")
       // The requests stay in memory until their connection is closed, so no other is read before that.
       turns.charge(request.socket, TURN_UNITS)
@@ -258,6 +275,7 @@
       const timer = setInterval(check, CHECK_INTERVAL_MS)
       timer.unref()
       server.once("close", () => clearInterval(timer))
+      server.maxHeadersCount = limits.headLines
     },
     bodies,
     discard,
--- a/src/callers/limits.ts
+++ b/src/callers/limits.ts
@@ -17,8 +17,10 @@
   readonly bodyBytes: number
   /** Requests of one connection that wait for the answer to an earlier one. */
   readonly requestsAhead: number
-  /** Length of the head of a request, in bytes. */
+  /** Length of the head of a request, and of all heads of one connection that wait, in bytes. */
   readonly headBytes: number
+  /** Header lines of a request. Each takes some hundred bytes once it is parsed, however short it is. */
+  readonly headLines: number
   /** From the opening of a connection, or the first byte of a later request, to the end of the head. */
   readonly headTime: Milliseconds
   /** From the first byte of a request to its last. */
@@ -43,6 +45,7 @@
 
 const REQUESTS_AHEAD = 16
 const HEAD_BYTES = 16 * 1024
+const HEAD_LINES = 200
 const HEAD_TIME_MS: Milliseconds = 20_000
 const REQUEST_TIME_MS: Milliseconds = 300_000
 const UNREAD_TIME_MS: Milliseconds = 30_000
@@ -67,6 +70,7 @@
         : DEFAULT_BODY_BYTES,
     requestsAhead: REQUESTS_AHEAD,
     headBytes: HEAD_BYTES,
+    headLines: HEAD_LINES,
     headTime: HEAD_TIME_MS,
     requestTime: REQUEST_TIME_MS,
     unreadTime: UNREAD_TIME_MS,
--- a/test/clients/crowds.ts
+++ b/test/clients/crowds.ts
@@ -19,6 +19,8 @@
 export const TRIAL_CROWD = 300
 const EXTENSION_BYTES = 100
 const EXTENDED_CHUNKS = 10_000
+/** Just under the usual limit of 16 KiB on a head. */
+const HEADER_LINES = 1900
 /** As many as may wait on a connection, and one that is handled. */
 const REQUESTS_TOGETHER = 17
 
@@ -84,6 +86,11 @@
       size: 100,
       script: extendedChunks(withBody, host, EXTENDED_CHUNKS, EXTENSION_BYTES),
     },
+    {
+      title: "heads of many short lines",
+      size: 100,
+      script: manyHeaders(plain, host, HEADER_LINES, REQUESTS_TOGETHER),
+    },
     {
       title: "a few requests sent ahead, their answers read one byte at a time",
       size: 100,
