A client that reads one byte at a time keeps neither a slot nor a connection

Callers saw: 60 clients that read answers of 16 MiB one byte at a time kept all slots of a service's backend servers; an ordinary request was answered after 30 s, when their connections were closed.

Cause: while an answer is streamed, its attempt waited for the client without regard to the deadline. The limit on unread answers began anew with each byte.

Now the wait ends with the attempt: at its deadline the answer is cut off, as it is when the backend server is late, and the slot is free. A client has to read 16 KiB of a waiting answer in each 30 s, or the rest of it.

--- a/src/callers/guard.ts
+++ b/src/callers/guard.ts
@@ -49,7 +49,7 @@
   busy: boolean
   /** Requests that were sent ahead. */
   readonly queue: Waiting[]
-  /** Bytes of answers that the client has taken, and when that last changed. */
+  /** Bytes of answers that the client had taken when it was last seen to read fast enough, and when that was. */
   taken: number
   takenAt: Milliseconds
 }
@@ -233,7 +233,7 @@
     for (const connection of [...connections.values()]) {
       const {socket} = connection
       const taken = socket.bytesWritten - socket.writableLength
-      if (socket.writableLength === 0 || taken !== connection.taken) {
+      if (socket.writableLength === 0 || taken - connection.taken >= limits.unreadBytes) {
         connection.taken = taken
         connection.takenAt = now
       } else if (now - connection.takenAt >= limits.unreadTime) close(connection, "unread-answer")
--- a/src/callers/limits.ts
+++ b/src/callers/limits.ts
@@ -25,8 +25,9 @@
   readonly headTime: Milliseconds
   /** From the first byte of a request to its last. */
   readonly requestTime: Milliseconds
-  /** How long a client may read nothing of an answer. */
+  /** While an answer waits to be read, its client has to read `unreadBytes` in each such time, or the rest. */
   readonly unreadTime: Milliseconds
+  readonly unreadBytes: number
 }
 
 const BYTES_PER_MEBIBYTE = 2 ** 20
@@ -49,6 +50,8 @@
 const HEAD_TIME_MS: Milliseconds = 20_000
 const REQUEST_TIME_MS: Milliseconds = 300_000
 const UNREAD_TIME_MS: Milliseconds = 30_000
+/** Half a KiB a second, slower than any link. */
+const UNREAD_BYTES = 16 * 1024
 
 function connectionLimit({memoryMebibytes, descriptors}: MachineSize): number {
   const byDescriptors =
@@ -74,5 +77,6 @@
     headTime: HEAD_TIME_MS,
     requestTime: REQUEST_TIME_MS,
     unreadTime: UNREAD_TIME_MS,
+    unreadBytes: UNREAD_BYTES,
   }
 }
--- a/src/filters/forward.ts
+++ b/src/filters/forward.ts
@@ -4,6 +4,7 @@
  * complete: the caller's connection is closed as well.
  */
 import {once} from "node:events"
+import type {Writable} from "node:stream"
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {BackendAnswer, BackendClient, BackendOutcome} from "../controllers/backendclient.js"
 import type {Logger} from "../core/logger.js"
@@ -65,6 +66,20 @@
   readonly dispose: () => void
 }
 
+/**
+ * Resolves when the caller has taken what was written, or its connection is closed. Rejects when the attempt is aborted:
+ * a caller that reads slowly must not keep the slot beyond the deadline.
+ */
+async function untilWritable(outgoing: Writable, aborted: AbortSignal): Promise<void> {
+  const settled = new AbortController()
+  const signal = AbortSignal.any([aborted, settled.signal])
+  try {
+    await Promise.race([once(outgoing, "drain", {signal}), once(outgoing, "close", {signal})])
+  } finally {
+    settled.abort()
+  }
+}
+
 /** Creates the last filter of the chain. */
 export function forwardFilter(ports: ForwardPorts): Filter {
   const {clock, log} = ports
@@ -114,7 +129,7 @@
         sizeBytes += bytes.length
         if (exchange.mustKeepAnswer && sizeBytes <= MAXIMUM_KEPT_ANSWER_BYTES) keptChunks.push(bytes)
         if (outgoing.destroyed) continue
-        if (!outgoing.write(bytes)) await Promise.race([once(outgoing, "drain"), once(outgoing, "close")])
+        if (!outgoing.write(bytes)) await untilWritable(outgoing, guard.signal)
       }
       return Buffer.concat(keptChunks)
     } catch {
