Jobs of an entry instance have a part of its memory, and a request 20 findings

Callers saw: an entry instance ended for want of memory (SIGABRT, heap of 80 MB) when 50 clients at a time handed in 1,000 jobs of 1,000 tasks, and when 300 handed in bodies of 262,000 bytes with 28,000 unknown members.

Cause: accepted jobs had no limit on the memory of their home, and each unknown member became a finding of the answer, several times as long as the member, which waited for a client that did not read it.

Now jobs are counted by tasks and payload, open and ended, and take a tenth of the memory of the machine (64 MiB where it is not known). Beyond that a job is refused with 503, `over-capacity`, not run, and Retry-After of 10 to 19 s, each job another (`job-over-capacity` in the log). While jobs need more than half, the oldest ended ones are forgotten. A request is told its first 20 findings.

--- a/src/controllers/jobhome.ts
+++ b/src/controllers/jobhome.ts
@@ -54,6 +54,10 @@
   readonly isLeaving: (worker: string) => boolean
   readonly mayAct: () => boolean
   readonly storeIsReachable: () => boolean
+  /** Whether the instance has memory for a further job of this size. */
+  readonly hasRoomForJob: (bytes: number) => boolean
+  /** Bytes that the ended jobs of one home may take. */
+  readonly endedJobsLimit: () => number
 }
 
 export interface JobHome {
@@ -71,7 +75,13 @@
   readonly acceptEnds: (ends: readonly AttemptEnd[]) => Promise<readonly string[]>
   /** True once every owner has reported the attempts that earlier homes started. */
   readonly isRecovered: () => boolean
-  readonly counts: () => {readonly waiting: number; readonly inFlight: number; readonly jobs: number}
+  readonly counts: () => {
+    readonly waiting: number
+    readonly inFlight: number
+    readonly jobs: number
+    /** Bytes that the jobs are estimated to take. */
+    readonly memory: number
+  }
   /** Stops starting attempts and durably marks tasks that may have started, for the next home. */
   readonly drain: () => Promise<void>
   readonly close: () => void
@@ -178,6 +188,7 @@
     isLeaving: ports.isLeaving,
     minimumAvailable: workload => ports.document()?.workloads.get(workload)?.minimumAvailable ?? 0,
     endStepOfWaitingTask,
+    endedJobsLimit: ports.endedJobsLimit,
   })
 
   const submit = createJobSubmission({
@@ -188,6 +199,7 @@
     document: ports.document,
     poolShape: ports.poolShape,
     storeIsReachable: ports.storeIsReachable,
+    hasRoom: ports.hasRoomForJob,
     describe,
     onAccepted: enqueueAcceptedJob,
   })
@@ -587,6 +599,7 @@
       waiting: dispatcher.queue().size() + gangPlacer.waiting().length,
       inFlight: dispatcher.tracker().size(),
       jobs: registry.size(),
+      memory: registry.memory(),
     }),
     drain,
     close() {
--- a/src/controllers/jobmaintenance.ts
+++ b/src/controllers/jobmaintenance.ts
@@ -3,6 +3,7 @@
  * workers that are about to leave, and removes jobs that ended long ago.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
+import {estimateJobMemory} from "../jobs/footprint.js"
 import type {Job, JobStep, Task} from "../jobs/job.js"
 import {explainInfeasibility} from "../placement/feasibility.js"
 import type {PoolCapacity} from "../placement/feasibility.js"
@@ -30,9 +31,11 @@
   readonly minimumAvailable: (workload: string) => number
   /** Returns the step that ends a task of which no attempt runs. */
   readonly endStepOfWaitingTask: (job: Job, task: Task) => Extract<JobStep, {type: "task-ended"}>
+  /** Bytes that ended jobs may take. */
+  readonly endedJobsLimit: () => number
 }
 
-/** Ended jobs are kept for this time, within MAX_ENDED_JOBS. */
+/** Ended jobs are kept for this time, within MAX_ENDED_JOBS and their limit on memory. */
 const RETENTION_MS: Milliseconds = 24 * 3_600_000
 const MAX_ENDED_JOBS = 4000
 /** A job is ended after its pool has been unable to run it for this long. */
@@ -111,8 +114,11 @@
     const limit = clock.wallClock() - RETENTION_MS
     const surplus = Math.max(0, ended.length - MAX_ENDED_JOBS)
     ended.sort((one, other) => one.endedAt - other.endedAt)
+    let excess =
+      ended.reduce((sum, job) => sum + estimateJobMemory(job.specification), 0) - ports.endedJobsLimit()
     ended.forEach((job, index) => {
-      if (job.endedAt >= limit && index >= surplus) return
+      if (job.endedAt >= limit && index >= surplus && excess <= 0) return
+      excess -= estimateJobMemory(job.specification)
       void registry.record({type: "forgotten", job: job.specification.job})
     })
   }
--- a/src/controllers/jobregistry.ts
+++ b/src/controllers/jobregistry.ts
@@ -4,6 +4,7 @@
  */
 import type {Result} from "neverthrow"
 import type {NotHolder} from "../core/errors.js"
+import {estimateJobMemory} from "../jobs/footprint.js"
 import {applyJobStep, jobNameOf} from "../jobs/job.js"
 import type {Job, JobStep} from "../jobs/job.js"
 import type {Journal} from "./journal.js"
@@ -12,6 +13,8 @@
   readonly get: (job: string) => Job | undefined
   readonly all: () => IterableIterator<Job>
   readonly size: () => number
+  /** Bytes that the jobs are estimated to take. */
+  readonly memory: () => number
   /** Applies steps that were read from the journal. */
   readonly restore: (steps: readonly JobStep[]) => void
   /** Applies steps at once and resolves when they are durable. */
@@ -59,21 +62,26 @@
 /** Creates an empty registry that records its steps in the journal. */
 export function createJobRegistry(journal: Journal): JobRegistry {
   const jobs = new Map<string, Job>()
+  let memory = 0
   let areMarksComplete = false
 
   function apply(step: JobStep): void {
     areMarksComplete = step.type === "marks-complete"
     const name = jobNameOf(step)
     if (name === "") return
-    const next = applyJobStep(jobs.get(name), step)
+    const known = jobs.get(name)
+    const next = applyJobStep(known, step)
     if (next) jobs.set(name, next)
     else jobs.delete(name)
+    if (known && !next) memory -= estimateJobMemory(known.specification)
+    if (next && !known) memory += estimateJobMemory(next.specification)
   }
 
   return {
     get: job => jobs.get(job),
     all: () => jobs.values(),
     size: () => jobs.size,
+    memory: () => memory,
     restore: steps => steps.forEach(apply),
     record(...steps) {
       steps.forEach(apply)
--- a/src/controllers/jobsubmission.ts
+++ b/src/controllers/jobsubmission.ts
@@ -5,7 +5,9 @@
 import {createHash, randomUUID} from "node:crypto"
 import type {Clock, Milliseconds} from "../core/clock.js"
 import {withTimeout} from "../core/clock.js"
+import {hash32} from "../core/hash.js"
 import type {EnvironmentDocument} from "../document/model.js"
+import {estimateJobMemory} from "../jobs/footprint.js"
 import type {Job, JobSpecification} from "../jobs/job.js"
 import {readJobRequest} from "../jobs/request.js"
 import {explainInfeasibility} from "../placement/feasibility.js"
@@ -23,6 +25,8 @@
   readonly document: () => EnvironmentDocument | undefined
   readonly poolShape: (pool: string) => PoolCapacity | undefined
   readonly storeIsReachable: () => boolean
+  /** Whether the instance has memory for a further job of this size. */
+  readonly hasRoom: (bytes: number) => boolean
   readonly describe: (job: Job) => object
   /** Called when the job is durable and its tasks may be placed. */
   readonly onAccepted: (job: string) => void
@@ -31,6 +35,13 @@
 /** If a job is not durable within this time, the response says that its outcome is unknown. */
 const ACCEPT_WAIT_MS: Milliseconds = 3000
 const NAME_PART_LENGTH = 24
+/** When callers should come back where accepted jobs have to end first, each after another time. */
+const OVER_CAPACITY_RETRY_SECONDS = 10
+const RETRY_SPREAD_SECONDS = 10
+
+function spreadRetry(job: string): number {
+  return OVER_CAPACITY_RETRY_SECONDS + (hash32(job) % RETRY_SPREAD_SECONDS)
+}
 
 /**
  * Returns the name of a job: the index of its job group, by which any instance finds its home, and a part that is equal
@@ -79,6 +90,17 @@
         "The platform's store does not answer, so the job cannot be made durable. Try again later."
       return problem(503, "store-unavailable", "The job was not accepted", detail, "not-run")
     }
+    const memory = estimateJobMemory(specification)
+    if (!ports.hasRoom(memory)) {
+      log.warn(
+        {event: "job-over-capacity", jobGroup, job: name, team: specification.team, memory},
+        "job refused, since its home could not hold it beside those accepted",
+      )
+      const detail = "The job's home has no memory for a further job until others have ended."
+      return problem(503, "over-capacity", "The job was not accepted", detail, "not-run", {
+        retryAfter: spreadRetry(name),
+      })
+    }
     return accept(specification)
   }
 
--- a/src/entry/callerserver.ts
+++ b/src/entry/callerserver.ts
@@ -65,7 +65,10 @@
   const type = answer.status >= 400 ? PROBLEM_CONTENT_TYPE : "application/json"
   const execution = (answer.body as {readonly execution?: string}).execution ?? "unknown"
   const headers: Record<string, string> = {"content-type": type, "lacewing-execution": execution}
-  if (answer.status === 503) headers["retry-after"] = "1"
+  if (answer.status === 503) {
+    const {retryAfter = 1} = answer.body as {readonly retryAfter?: number}
+    headers["retry-after"] = String(retryAfter)
+  }
   if (answer.status === 413) headers.connection = "close"
   const {job} = answer.body as {readonly job?: string}
   if (answer.status === 202 && job !== undefined) headers.location = `/jobs/${job}`
--- a/src/entry/core.ts
+++ b/src/entry/core.ts
@@ -28,6 +28,7 @@
 import type {Slot} from "../controllers/slotborrower.js"
 import type {EnvironmentDocument} from "../document/model.js"
 import type {AttemptEnd} from "../jobs/attempt.js"
+import {jobMemoryLimit} from "../jobs/footprint.js"
 import type {Claim, MemberState} from "../membership/table.js"
 import {callPeer} from "../peer/api.js"
 import type {PeerApi, PeerNetwork} from "../peer/api.js"
@@ -91,11 +92,15 @@
   readonly dataCentre: string
   /** How many instances should be ready to take over the groups of this one. */
   readonly successors: number
+  /** Memory that the process may take; 0 if it is not known. */
+  readonly memoryMebibytes: number
 }
 
 const MAX_BORROWERS_ASKED = 32
 const MAX_HANDED_OVER_KEY_BYTES = 512 * 1024
 const DEFAULT_LONGEST_DEADLINE_MS: Milliseconds = 60_000
+/** Part of the memory for jobs that ended ones keep while others need it. */
+const ENDED_SHARE_OF_JOBS = 0.5
 const START_TIMEOUT_MS: Milliseconds = 5000
 const FIRST_PEER_TIMEOUT_MS: Milliseconds = 1500
 const FIRST_PEER_POLL_INTERVAL_MS: Milliseconds = 25
@@ -104,6 +109,7 @@
 export function createEntryCore(identity: EntryIdentity, ports: EntryCorePorts): EntryCore {
   const {clock, random, log} = ports
   const {instance, dataCentre} = identity
+  const jobBytes = jobMemoryLimit(identity.memoryMebibytes)
   const store = guardedStore(ports.store, clock, random)
   const incarnation = newIncarnation(clock, random)
   const routers = new Map<string, RequestRouter>()
@@ -227,6 +233,12 @@
     }
   }
 
+  function memoryOfJobs(): number {
+    let sum = 0
+    for (const {home} of held.jobGroups().values()) sum += home.counts().memory
+    return sum
+  }
+
   function epochIfCurrent(group: string, epoch: number): number | undefined {
     return ownership.epochOf(group) === epoch ? epoch : undefined
   }
@@ -272,6 +284,11 @@
         isLeaving: list.isLeaving,
         mayAct,
         storeIsReachable: () => !store.statistics().open,
+        hasRoomForJob: bytes => memoryOfJobs() + bytes <= jobBytes,
+        endedJobsLimit() {
+          const endedBytes = jobBytes * ENDED_SHARE_OF_JOBS
+          return memoryOfJobs() <= endedBytes ? Infinity : endedBytes / held.jobGroups().size
+        },
       })
     },
   })
--- a/src/jobs/request.ts
+++ b/src/jobs/request.ts
@@ -20,6 +20,8 @@
 type JsonObject = Readonly<Record<string, unknown>>
 
 const MAXIMUM_PAYLOAD_CHARACTERS = 4096
+const MAXIMUM_FINDINGS = 20
+const MAXIMUM_POINTER_CHARACTERS = 100
 const MAXIMUM_PROCESSORS = 4096
 const MAXIMUM_MEMORY_MEBIBYTES = 64 * 1024 * 1024
 const MAXIMUM_ACCELERATORS = 1024
@@ -32,8 +34,10 @@
 
   constructor(private readonly body: JsonObject) {}
 
+  /** Further findings than a caller reads at once are left out, since they would be many times as long as the request. */
   addFinding(pointer: string, problem: string): void {
-    this.findings.push({pointer, problem})
+    if (this.findings.length === MAXIMUM_FINDINGS) return
+    this.findings.push({pointer: pointer.slice(0, MAXIMUM_POINTER_CHARACTERS), problem})
   }
 
   readName(key: string): string {
--- a/test/clients/entrywork.test.ts
+++ b/test/clients/entrywork.test.ts
@@ -12,6 +12,8 @@
 /** The usual limits on the tasks and the payload of a job. */
 const MOST_TASKS = 1000
 const LONGEST_PAYLOAD = 4000
+/** As many as fit into a body of the longest length. */
+const UNKNOWN_MEMBERS = 28_000
 const SLOW_WORK_MS = 2000
 /** Far more than the kernel keeps for a connection. */
 const LONG_ANSWER_BYTES = 16 * 2 ** 20
@@ -53,6 +55,37 @@
   t.deepEqual(entry.process.faults(), [])
 })
 
+test.serial("very many jobs keep to the memory of an instance", async t => {
+  const entry = await startEntry(MACHINE)
+  t.teardown(entry.close)
+  t.true(await callAll(entry))
+  await passByApart(
+    CALLERS,
+    {total: 1000, together: 50},
+    complete("/jobs", "a", JSON.stringify({...JOB, tasks: MOST_TASKS, payload: "p".repeat(LONGEST_PAYLOAD)})),
+  )
+  t.log(entry.process.usage())
+  t.true(await callAll(entry))
+  t.log(entry.process.usage())
+  t.deepEqual(entry.process.faults(), [])
+})
+
+test.serial("jobs with very many unknown members keep to the memory of an instance", async t => {
+  const entry = await startEntry(MACHINE)
+  t.teardown(entry.close)
+  t.true(await callAll(entry))
+  const members = Array.from({length: UNKNOWN_MEMBERS}, (_, index) => `"${index.toString(36)}":0`)
+  const crowd = await gather(CALLERS, TRIAL_CROWD, complete("/jobs", "a", `{${members.join(",")}}`))
+  t.teardown(crowd.leave)
+  await crowd.settled()
+  t.log(entry.process.usage())
+  t.deepEqual(entry.process.faults(), [], "while the crowd is connected")
+  t.true(await callAll(entry), "beside the crowd")
+  crowd.leave()
+  t.true(await callAll(entry), "after the crowd")
+  t.deepEqual(entry.process.faults(), [])
+})
+
 test.serial("answers that are read one byte at a time keep no slot of a backend server", async t => {
   const entry = await startEntry(MACHINE)
   t.teardown(entry.close)
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -347,7 +347,12 @@
       storeCalls += 1
     })
     const core = createEntryCore(
-      {instance: name, dataCentre: ["a", "b", "c"][started % 3] ?? "a", successors: 2},
+      {
+        instance: name,
+        dataCentre: ["a", "b", "c"][started % 3] ?? "a",
+        successors: 2,
+        memoryMebibytes: 0,
+      },
       {
         clock: instanceClock,
         random: seededRandom(options.seed * 100 + started),
