--- a/test/unit/clientguard.test.ts
+++ b/test/unit/clientguard.test.ts
@@ -6,6 +6,7 @@
 import {connect} from "node:net"
 import type {AddressInfo, Socket} from "node:net"
 import {join} from "node:path"
+import {Readable} from "node:stream"
 import test from "ava"
 import type {ExecutionContext} from "ava"
 import {Agent, request} from "undici"
@@ -114,17 +115,26 @@
   t.is(guard.counts().refused_requests_ahead, 1)
 })
 
-test("a client that reads one byte at a time is closed, whatever it reads meanwhile", async t => {
-  const limits = {...clientLimits({memoryMebibytes: 210, descriptors: 2212}), unreadTime: 1500}
+function* pieces(): Generator<Buffer> {
+  for (let index = 0; index < 1000; index += 1) yield Buffer.alloc(2 ** 16)
+}
+
+test("a client that reads its answer at less than the pace is closed, though it reads all the time", async t => {
+  const limits = {
+    ...clientLimits({memoryMebibytes: 210, descriptors: 2212}),
+    unreadTime: 1500,
+    unreadBytes: 8 * 2 ** 20,
+  }
   const {guard, port} = await serve(
     t,
     limits,
-    () => (_incoming, outgoing) => void outgoing.end(Buffer.alloc(32 * 2 ** 20)),
+    () => (_incoming, outgoing) => void Readable.from(pieces()).pipe(outgoing),
   )
   const socket = connect(port, "127.0.0.1")
   socket.on("error", () => undefined)
   socket.pause()
-  const reading = setInterval(() => void socket.read(1), 50)
+  // Enough that the kernel tells the server of it.
+  const reading = setInterval(() => void socket.read(), 25)
   t.teardown(() => {
     clearInterval(reading)
     socket.destroy()
