--- a/test/clients/entrywork.test.ts
+++ b/test/clients/entrywork.test.ts
@@ -5,6 +5,7 @@
 import {passByApart} from "./apart.js"
 import {BODY_LIMIT, MACHINE, TRIAL_BODY_BYTES, TRIAL_CROWD} from "./crowds.js"
 import {CALLERS, DOCUMENT, startEntry} from "./entryprocess.js"
+import {holdsAgainst} from "./holding.js"
 
 const SERVICE = "/services/crease/check"
 const DEMAND = {processors: 1, memoryMebibytes: 100}
@@ -73,17 +74,9 @@
 test.serial("jobs with very many unknown members keep to the memory of an instance", async t => {
   const entry = await startEntry(MACHINE)
   t.teardown(entry.close)
-  t.true(await callAll(entry))
   const members = Array.from({length: UNKNOWN_MEMBERS}, (_, index) => `"${index.toString(36)}":0`)
-  const crowd = await gather(CALLERS, TRIAL_CROWD, complete("/jobs", "a", `{${members.join(",")}}`))
-  t.teardown(crowd.leave)
-  await crowd.settled()
-  t.log(entry.process.usage())
-  t.deepEqual(entry.process.faults(), [], "while the crowd is connected")
-  t.true(await callAll(entry), "beside the crowd")
-  crowd.leave()
-  t.true(await callAll(entry), "after the crowd")
-  t.deepEqual(entry.process.faults(), [])
+  const crowd = {size: TRIAL_CROWD, script: complete("/jobs", "a", `{${members.join(",")}}`)}
+  await holdsAgainst(t, {callers: CALLERS, process: entry.process, call: () => callAll(entry)}, crowd)
 })
 
 test.serial("answers that are read one byte at a time keep no slot of a backend server", async t => {
