Ended jobs are kept for ten minutes, whatever memory they take

With the limit on the memory of jobs, others' jobs could have pushed out one that had just ended, and a request repeated with its key would have run again.

--- a/src/controllers/jobmaintenance.ts
+++ b/src/controllers/jobmaintenance.ts
@@ -37,6 +37,8 @@
 
 /** Ended jobs are kept for this time, within MAX_ENDED_JOBS and their limit on memory. */
 const RETENTION_MS: Milliseconds = 24 * 3_600_000
+/** Whatever memory they take, ended jobs are kept for this time, in which callers may repeat their requests. */
+const SHORTEST_RETENTION_MS: Milliseconds = 600_000
 const MAX_ENDED_JOBS = 4000
 /** A job is ended after its pool has been unable to run it for this long. */
 const IMPOSSIBLE_AFTER_MS: Milliseconds = 30_000
@@ -111,13 +113,15 @@
 
   function forgetEndedJobs(): void {
     const ended = [...registry.all()].filter(job => job.endedAt > 0)
-    const limit = clock.wallClock() - RETENTION_MS
+    const now = clock.wallClock()
     const surplus = Math.max(0, ended.length - MAX_ENDED_JOBS)
     ended.sort((one, other) => one.endedAt - other.endedAt)
     let excess =
       ended.reduce((sum, job) => sum + estimateJobMemory(job.specification), 0) - ports.endedJobsLimit()
     ended.forEach((job, index) => {
-      if (job.endedAt >= limit && index >= surplus && excess <= 0) return
+      const age = now - job.endedAt
+      const isExcessive = excess > 0 && age > SHORTEST_RETENTION_MS
+      if (age <= RETENTION_MS && index >= surplus && !isExcessive) return
       excess -= estimateJobMemory(job.specification)
       void registry.record({type: "forgotten", job: job.specification.job})
     })
