A body of an announced length takes one buffer of that length

Cause: a body was copied into a buffer that doubles from 4 KiB, and the buffers left behind, as many bytes again, are in memory until garbage is collected. The memory for bodies does not count them.

Now the first buffer has the announced length, which the memory for bodies counts at once; a client that announces much and sends little gives way as one that sent it. Chunked bodies grow as before.

Tests: clientlimits.test, with a guard.

--- a/src/callers/bodyreader.ts
+++ b/src/callers/bodyreader.ts
@@ -74,7 +74,9 @@
             return
           }
           if (needed > buffer.length) {
-            const capacity = Math.min(limit, Math.max(FIRST_CAPACITY, needed, buffer.length * 2))
+            // The buffers that a growing body leaves behind are in memory until the next collection of garbage.
+            const expected = announced > 0 ? announced : Math.max(FIRST_CAPACITY, buffer.length * 2)
+            const capacity = Math.min(limit, Math.max(needed, expected))
             if (!share.grow(capacity, clock.now())) {
               finish({type: "no-room"})
               return
--- a/test/guards/guards.ts
+++ b/test/guards/guards.ts
@@ -1247,4 +1247,12 @@
     test: "unit/footprint.test.js",
     match: "lists and texts*",
   },
+  {
+    name: "a body of an announced length leaves no buffers behind",
+    file: "callers/bodyreader.js",
+    find: "const expected = announced > 0 ? announced : ",
+    replace: "const expected = ",
+    test: "unit/clientlimits.test.js",
+    match: "a body of an announced length*",
+  },
 ]
--- a/test/unit/clientlimits.test.ts
+++ b/test/unit/clientlimits.test.ts
@@ -175,3 +175,15 @@
   )
   t.true(size * clients <= (turns + clients) * PIECES_READ_AT_ONCE, `${turns} turns`)
 })
+
+test("a body of an announced length takes one buffer of that length", async t => {
+  const budget = createBodyBudget(10 * BODY_LIMIT)
+  const announced = start(budget, {"content-length": "50000"})
+  announced.stream.write(Buffer.alloc(10))
+  await new Promise(setImmediate)
+  t.is(budget.used(), 50_000)
+  announced.stream.end(Buffer.alloc(49_990))
+  const read = await announced.outcome
+  t.is(read.type === "read" && read.body.length, 50_000)
+  t.is(budget.used(), 50_000)
+})
