--- a/review/13/case.ts
+++ b/review/13/case.ts
@@ -1,6 +1,6 @@
 /**
- * A job of many tasks that can never be done is handed in beside ordinary ones. Watches whether the ordinary jobs that are
- * accepted later still run.
+ * Three of five instances, the leader among them, and one of four workers are lost for good at the same moment, and three
+ * new instances come. Watches a job of lasting tasks, which had been accepted before, and of which some ran on the lost worker.
  */
 import {mkdtempSync, rmSync} from "node:fs"
 import {tmpdir} from "node:os"
@@ -11,45 +11,27 @@
 import {createRecorder, sleep} from "../standins-3/record.js"
 import {createStore} from "../standins-3/store.js"
 import {startWorker} from "../standins-3/worker.js"
+import type {Worker} from "../standins-3/worker.js"
 
 const HOST = "a.example"
-const WIDE = "00000000000000c0"
-const WIDE_TASKS = 6500
-const WIDE_CPU = 800
-const WIDE_MS = 50
-const INSTANCES = 3
+const JOB = "00000000000000a1"
+const INSTANCES = 5
 const WORKERS = 4
-const WORKER_CPU = 16_000
-const CHECK_CPU = 500
-const CHECK_TASKS = 4
-const CHECK_MS = 300
-/** Ordinary jobs come at this interval, and for this long at the most. */
-const INTERVAL_MS = 2000
-const TRAFFIC_MS = 80_000
-/** With so many ends in its list that are not taken note of, a worker shows no later ones. */
-const LISTED_ENDS = 500
-/** Ordinary jobs go on coming for this long after that. */
-const AFTER_MS = 16_000
-/** The rule: the jobs are asked for 14 s after the end of the traffic, and what could run has not for 3 s. */
-const FINISH_MS = 14_000
+const TASKS = 4
+/** A worker's entry is removed after three heartbeat intervals of silence. */
+const ENTRY_REMOVED_MS = 4500
+/**
+ * The rule: for 3 s a lasting task doesn't run, from 6 s after its last run, though there is capacity for it twice over,
+ * and the 3 s and the 4 s before them are calm. The disruption ends when the new instances are up and the entry is gone.
+ */
+const AFTER_LAST_RUN_MS = 6000
+const CALM_MS = 4000
 const NOT_RUNNING_MS = 3000
+const WATCHED_MS = 30_000
 const hasTrouble = process.env.TROUBLE !== "0"
 
-function workerId(number: number): string {
-  return `projects/foldwind/regions/cascadia/zones/cascadia-a/pools/crease/workers/7f3a91c2-5b0d-4e1f-9c77-00000000000${number}`
-}
-
-function routeOf(name: string, priority: number): unknown {
-  return {
-    Name: name,
-    Host: HOST,
-    Prefix: `/${name}/`,
-    Service: "crease",
-    Priority: priority,
-    Attempts: 3,
-    SlackFactor: 1.5,
-    TargetLatencyMs: 250,
-  }
+interface Leader {
+  readonly name: string
 }
 
 async function main(): Promise<number> {
@@ -58,144 +40,107 @@
   const store = createStore()
   store.put("op/config", {
     Version: 1,
-    Routes: [routeOf("check", 0), routeOf("pack", 2)],
+    Routes: [
+      {
+        Name: "board",
+        Host: HOST,
+        Prefix: "/board/",
+        Service: "crease",
+        Priority: 1,
+        Attempts: 4,
+        SlackFactor: 3,
+        TargetLatencyMs: 2500,
+      },
+    ],
     Services: [{Name: "crease", Preconditions: false}],
     Limits: {MaxBodyBytes: 262_144},
   })
   const storeListener = await store.serve("127.0.0.1")
   const advice = await serveJson("127.0.0.1", () => ({status: 200, body: {Good: []}}))
-  let [wideStarts, wideEnds] = [0, 0]
-  const doneTasks = new Set<string>()
   const workers = await Promise.all(
     Array.from({length: WORKERS}, (_, index) =>
       startWorker("127.0.0.1", store, {
-        id: workerId(index + 1),
+        id: `i-00000000${index + 1}`,
         service: "crease",
-        capacity: {Cpu: WORKER_CPU, MemMb: 32_768, Gpu: 0},
+        capacity: {Cpu: 16_000, MemMb: 32_768, Gpu: 0},
         rack: `r${index + 1}`,
-        planOf: task =>
-          task.startsWith(WIDE)
-            ? {ms: WIDE_MS, how: hasTrouble ? "failed" : "done"}
-            : {ms: CHECK_MS, how: "done"},
-        onEvent(event) {
-          const [, kind = "", task = "", , , how] = event.split(" ")
-          if (task.startsWith(WIDE)) {
-            if (kind === "start") wideStarts += 1
-            else wideEnds += 1
-            return
-          }
-          if (how === "done") doneTasks.add(task)
-          recorder.note(`worker ${event.slice(event.lastIndexOf("/") + 1)}`)
-        },
+        planOf: () => ({ms: 600_000, how: "done"}),
+        onEvent: event => recorder.note(`worker ${event}`),
       }),
     ),
   )
   const machines = await prepareMachines(folder, storeListener.address, advice.address)
   const instances: Instance[] = []
-  const accepted: string[] = []
-  let lastNumber = 0
-
-  async function submitCheck(): Promise<void> {
-    lastNumber += 1
-    const job = lastNumber.toString(16).padStart(16, "d")
-    const {status} = await call(instances[lastNumber % INSTANCES]?.callers ?? "", "POST", `/check/${job}`, {
-      host: HOST,
-      body: {
-        Spec: "check",
-        Pipeline: [{Count: CHECK_TASKS, Cpu: CHECK_CPU, MemMb: 100, EstimateMs: CHECK_MS}],
-      },
-      timeout: 3000,
-    })
-    recorder.note(`POST /check/${job} is answered ${status}`)
-    if (status === 200) accepted.push(job)
-  }
-
-  function isDone(job: string): boolean {
-    return Array.from({length: CHECK_TASKS}, (_, index) => `${job}.0.0.${index}`).every(task =>
-      doneTasks.has(task),
-    )
-  }
-
-  function note(): void {
-    const ends = workers.map(worker => worker.unobserved()).join(", ")
-    const running = workers.map(worker => worker.runningTasks().length).join(", ")
-    recorder.note(
-      `wide job: ${wideStarts} starts, ${wideEnds} ends; at the workers ${running} tasks run, ${ends} ends are not taken note of; ` +
-        `${store.tooLong()} writes refused, since a value was over the store's limit`,
-    )
-  }
-
+  let broken = false
   try {
     instances.push(
       ...(await Promise.all(Array.from({length: INSTANCES}, (_, index) => machines.start(index + 1)))),
     )
     recorder.note(`${INSTANCES} instances are ready`)
-    await submitCheck()
-    await sleep(INTERVAL_MS)
-    const [first] = accepted
-    if (first === undefined || !isDone(first)) return 2
-    const wide = {Count: WIDE_TASKS, Cpu: WIDE_CPU, MemMb: 100, EstimateMs: WIDE_MS}
-    const {status} = await call(instances[0]?.callers ?? "", "POST", `/pack/${WIDE}`, {
+    const job = {
+      Spec: "board",
+      Pipeline: [{Count: TASKS, Cpu: 4000, MemMb: 4096, EstimateMs: 340, AntiAffinity: 2, LongRunning: true}],
+    }
+    const submitted = await call(instances[0]?.callers ?? "", "POST", `/board/${JOB}`, {
       host: HOST,
-      body: {Spec: "pack", Pipeline: [wide]},
+      body: job,
       timeout: 3000,
     })
-    recorder.note(`POST /pack/${WIDE} ${JSON.stringify(wide)} is answered ${status}`)
-    if (status !== 200) return 2
-    const begunAt = performance.now()
-    let fullSince: number | undefined
-    while (performance.now() - begunAt < TRAFFIC_MS) {
-      await submitCheck()
-      await sleep(INTERVAL_MS)
-      note()
-      const isFull = workers.every(worker => worker.unobserved() >= LISTED_ENDS)
-      fullSince = isFull ? (fullSince ?? performance.now()) : undefined
-      if (fullSince !== undefined && performance.now() - fullSince > AFTER_MS) break
+    recorder.note(`POST /board/${JOB} is answered ${submitted.status}`)
+    if (submitted.status !== 200) return 2
+    // Long enough for the leader to have recorded its followers.
+    await sleep(6000)
+    const lost = new Set<Worker>()
+    const isRunning = (index: number): boolean =>
+      workers.some(worker => !lost.has(worker) && worker.runningTasks().includes(`${JOB}.0.0.${index}`))
+    const all = Array.from({length: TASKS}, (_, index) => index)
+    if (!all.every(isRunning)) return 2
+    const leader = (JSON.parse(store.get("lacewing/leader") ?? "{}") as Leader).name
+    recorder.note(`${leader} leads, all ${TASKS} tasks run`)
+    const lostAt = performance.now()
+    if (hasTrouble) {
+      const followers = instances.filter(({name}) => name !== leader)
+      const gone = [...instances.filter(({name}) => name === leader), ...followers.slice(0, 2)]
+      const victim = workers.find(worker => worker.runningTasks().length > 0)
+      if (!victim) return 2
+      lost.add(victim)
+      victim.close()
+      await Promise.all(gone.map(instance => instance.kill()))
+      recorder.note(`lost for good: ${gone.map(({name}) => name).join(", ")} and worker ${victim.id}`)
+      const added = await Promise.all([1, 2, 3].map(number => machines.start(INSTANCES + number)))
+      instances.push(...added)
+      recorder.note(`new instances are ready: ${added.map(({name}) => name).join(", ")}`)
+      await sleep(Math.max(0, lostAt + ENTRY_REMOVED_MS - performance.now()))
+      store.remove(`servers/${victim.id}`)
+      recorder.note("the platform has removed the entry of the lost worker")
     }
-    recorder.note("the traffic has ended")
-    await sleep(FINISH_MS - NOT_RUNNING_MS)
-    const startedDone = new Set(accepted.filter(isDone))
-    const ran = new Set<string>()
-    const watchedAt = performance.now()
-    let mostInUse = 0
-    while (performance.now() - watchedAt < NOT_RUNNING_MS) {
-      for (const worker of workers) {
-        const tasks = worker.runningTasks()
-        for (const task of tasks) ran.add(task.split(".")[0] ?? "")
-        const inUse = tasks.reduce((sum, task) => sum + (task.startsWith(WIDE) ? WIDE_CPU : CHECK_CPU), 0)
-        mostInUse = Math.max(mostInUse, inUse / WORKER_CPU)
+    const calmSince = performance.now()
+    const missingSince = new Map<number, number>()
+    const reported = new Set<number>()
+    while (performance.now() - calmSince < WATCHED_MS) {
+      const now = performance.now()
+      for (const index of all) {
+        if (isRunning(index)) {
+          if (reported.delete(index))
+            recorder.note(`task ${index} runs again, ${Math.round(now - lostAt)} ms after the loss`)
+          missingSince.delete(index)
+          continue
+        }
+        const since =
+          missingSince.get(index) ?? Math.max(now, lostAt + AFTER_LAST_RUN_MS, calmSince + CALM_MS)
+        missingSince.set(index, since)
+        if (now - since < NOT_RUNNING_MS || reported.has(index)) continue
+        reported.add(index)
+        broken = true
+        recorder.note(`LOST: task ${index} has not run for 3 s, with room for it on the three other workers`)
       }
-      await sleep(20)
-    }
-    note()
-    recorder.note(
-      `in the last 3 s, the busiest worker had ${Math.round(mostInUse * 100)} % of its cores in use`,
-    )
-    const lost = accepted.filter(job => !startedDone.has(job) && !isDone(job) && !ran.has(job))
-    for (const job of lost) {
-      const state = await call(instances[0]?.callers ?? "", "GET", `/check/${job}`, {
-        host: HOST,
-        timeout: 3000,
-      })
-      recorder.note(
-        `LOST: ${job} could run and doesn't; GET is answered ${state.status} ${JSON.stringify(state.body)}`,
-      )
-    }
-    let unseen = 0
-    for (const job of accepted.filter(isDone)) {
-      const state = await call(instances[0]?.callers ?? "", "GET", `/check/${job}`, {
-        host: HOST,
-        timeout: 3000,
-      })
-      if (state.body.State !== "completed") unseen += 1
+      await sleep(50)
     }
-    recorder.note(
-      `${unseen} ordinary jobs are not shown as completed, though their workers have done all of their tasks`,
-    )
-    const broken = lost.length > 0 && mostInUse < 0.5
-    recorder.note(
-      `${accepted.length} ordinary jobs were accepted, ${lost.length} of them could run and don't`,
-    )
+    const state = await call(instances.at(-1)?.callers ?? "", "GET", `/board/${JOB}`, {
+      host: HOST,
+      timeout: 3000,
+    })
+    recorder.note(`GET /board/${JOB} is answered ${state.status} ${JSON.stringify(state.body)}`)
     recorder.note(broken ? "the rule was broken" : "the rule held")
     return broken ? 1 : 0
   } finally {
--- a/review/standins-3/worker.ts
+++ b/review/standins-3/worker.ts
@@ -13,6 +13,8 @@
   readonly service: string
   readonly capacity: {readonly Cpu: number; readonly MemMb: number; readonly Gpu: number}
   readonly rack: string
+  /** The worker's kind, its first label. */
+  readonly kind?: string
   /** What a run of the task does. */
   readonly planOf: (task: string, attempt: number) => Plan
   /** Called with what happens, for the record. */
@@ -49,7 +51,7 @@
 
 /** Starts a worker and registers it. */
 export async function startWorker(host: string, store: Store, options: WorkerOptions): Promise<Worker> {
-  const {id, service, capacity, rack, planOf, onEvent} = options
+  const {id, service, capacity, rack, kind = "a", planOf, onEvent} = options
   const born = Date.now()
   const startedAt = performance.now()
   const runs = new Map<string, Run>()
@@ -175,7 +177,7 @@
     ColdRemainingMs: 0,
     Sequence: 1,
     FreeCapacity: capacity,
-    Labels: ["a", rack],
+    Labels: [kind, rack],
     born,
   })
   return {
