--- a/spec/defects.ts
+++ b/spec/defects.ts
@@ -2,7 +2,7 @@
 
 export interface Defect {
   readonly name: string
-  readonly specification: "holder" | "tasks" | "relays" | "withdrawal"
+  readonly specification: "holder" | "tasks" | "relays" | "withdrawal" | "takeover"
   readonly find: string
   readonly replace: string
   /** The invariant that must fail. */
@@ -172,4 +172,60 @@
     replace: "versions' = versions.set(p, call.version),",
     invariant: "neverServedLate",
   },
+  {
+    name: "a later leader does not wait until the answers of workers have aged",
+    specification: "takeover",
+    find: "withoutWorkersSince != NEVER and now - withoutWorkersSince > WORKER_WITHIN,",
+    replace: "withoutWorkersSince != NEVER,",
+    invariant: "neverTwice",
+  },
+  {
+    name: "a later leader counts too few workers as left",
+    specification: "takeover",
+    find: "WORKERS.exclude(answered).size() <= MISSABLE_WORKERS",
+    replace: "WORKERS.exclude(answered).size() <= MISSABLE_WORKERS + 1",
+    invariant: "neverTwice",
+  },
+  {
+    name: "a leader goes on without the store whatever workers answer it",
+    specification: "takeover",
+    find: "recordedWorkers.filter(w => since(workerAt.get(w)) < WORKER_WITHIN).size() > MISSABLE_WORKERS,",
+    replace: "true,",
+    invariant: "neverTwice",
+  },
+  {
+    name: "a worker supports a leader that has met it only after it restarted",
+    specification: "takeover",
+    find: "recordedWorkers' = if (isMet) recordedWorkers else recordedWorkers.exclude(Set(w)),",
+    replace: "recordedWorkers' = recordedWorkers,",
+    invariant: "neverTwice",
+  },
+  {
+    name: "a report counts from its receipt",
+    specification: "takeover",
+    find: "workerAt' = if (report.sentAt > workerAt.get(w)) workerAt.set(w, report.sentAt) else workerAt,",
+    replace: "workerAt' = workerAt.set(w, now),",
+    invariant: "neverTwice",
+  },
+  {
+    name: "a ping counts from its receipt",
+    specification: "takeover",
+    find: "followedAt' = if (ping.answeredAt > followedAt.get(ping.from)) followedAt.set(ping.from, ping.answeredAt) else followedAt,",
+    replace: "followedAt' = followedAt.set(ping.from, now),",
+    invariant: "neverTwice",
+  },
+  {
+    name: "a leader does not count the time for which its machine was suspended",
+    specification: "takeover",
+    find: "def since(instant) = now - instant",
+    replace: "def since(instant) = now - instant - uncounted",
+    invariant: "neverTwice",
+  },
+  {
+    name: "a later leader does not wait for the leases of one that has stopped",
+    specification: "takeover",
+    find: "now > stoppedSince + STRETCHED_LEASE,",
+    replace: "true,",
+    invariant: "neverTwice",
+  },
 ]
--- a/spec/run.ts
+++ b/spec/run.ts
@@ -8,7 +8,7 @@
 import type {Defect} from "./defects.js"
 
 interface Specification {
-  readonly name: "holder" | "tasks" | "relays" | "withdrawal"
+  readonly name: Defect["specification"]
   readonly invariants: readonly string[]
   readonly witnesses: readonly string[]
   readonly samples: number
@@ -50,6 +50,13 @@
     samples: 3000,
     steps: 50,
   },
+  {
+    name: "takeover",
+    invariants: ["neverTwice"],
+    witnesses: ["startsByWorkers", "actsUnconfirmed"],
+    samples: 1500,
+    steps: 100,
+  },
 ]
 
 const SEEDS: readonly string[] = ["1", "2"]
--- a/src/pipelines/succession.ts
+++ b/src/pipelines/succession.ts
@@ -22,6 +22,8 @@
   readonly plannedFor: Milliseconds
   /** Steps with tasks that may start now. */
   readonly openSteps: number
+  /** Workers that may still run tasks of an earlier leader, which other tasks wait for. */
+  readonly unreportedWorkers: number
 }
 
 /** A leader that keeps one processor busy sends and receives about this much. */
@@ -99,6 +101,8 @@
 ): readonly T[] {
   if (isWeak(self)) return rankByFitness(followers.filter(follower => !isWeak(follower)))
   if (duty.plannedFor < SETTLING_MS || duty.openSteps > MAX_CALM_STEPS) return []
+  // A successor would wait for the leases of the earlier leader anew.
+  if (duty.unreportedWorkers > 0) return []
   const enough = leadingPower(self) * MIN_ADVANTAGE
   return rankByFitness(followers.filter(one => one.isWarm && leadingPower(one) >= enough))
 }
--- a/src/planner/barrier.ts
+++ b/src/planner/barrier.ts
@@ -2,26 +2,28 @@
  * The barrier of a new leader. It holds back tasks of inherited jobs while a worker that has not listed everything may
  * still run them for an earlier leader, or have run them, so that no task runs twice. For unreachable workers it is
  * lifted one lease after the last earlier leader has stopped extending leases. An earlier leader has stopped once it
- * follows this leader, once too few followers are left to it and the store has not confirmed it for a while, or, whatever
+ * follows this leader, once it has lacked the support of instances or of workers for a while (`support.ts`), or, whatever
  * else is known, once the longest time limit has passed since it was replaced.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
 import type {Logger} from "../core/logger.js"
+import {
+  hasStoppedWithout,
+  INSTANCE_SUPPORT,
+  lacksSupport,
+  SUPPORTED_LIMIT_MS,
+  WORKER_SUPPORT,
+} from "../pipelines/support.js"
+import type {Supporters} from "../pipelines/support.js"
 import type {Confirmation} from "./confirmation.js"
 import type {EarlierLeader} from "./records.js"
 import type {WorkerState} from "./state.js"
 
-/** A leader without an answer of the store for this long no longer extends leases or starts tasks. */
-const UNCONFIRMED_LIMIT_MS: Milliseconds = 15_000
-/** The same limit for a leader that too few followers ping, as another instance may lead by now. */
-const ISOLATED_LIMIT_MS: Milliseconds = 1500
 /** Covers workers' clocks that run up to 2% slow, and the delivery time of an order. */
 const CLOCK_MARGIN = 1.1
 
-/** How long a leader may act without an answer of the store. */
-export function unconfirmedLimit(isFollowed: (within: Milliseconds) => boolean): Milliseconds {
-  return isFollowed(ISOLATED_LIMIT_MS) ? UNCONFIRMED_LIMIT_MS : ISOLATED_LIMIT_MS
-}
+/** Why an earlier leader must have stopped. */
+type StopReason = "follows" | "limit-passed" | "lacks-instances" | "lacks-workers"
 
 export interface Barrier {
   readonly add: (worker: WorkerState) => void
@@ -48,6 +50,8 @@
   readonly confirmation: Confirmation
   /** True once the instance of this name follows this leader, so that it no longer leads itself. */
   readonly hasJoined: (name: string) => boolean
+  /** True once the worker of this name has answered this leader, so that it answers no earlier one. */
+  readonly hasAnswered: (worker: string) => boolean
   /** When this instance first knew of a term later than the given one, as far as it remembers. */
   readonly knewLaterTermAt: (term: number) => Milliseconds | undefined
   /** Called when fewer earlier leaders may still act. */
@@ -56,50 +60,71 @@
 
 /** Creates the barrier of a leader whose term begins now. */
 export function createBarrier(context: BarrierContext): Barrier {
-  const {clock, log, confirmation, hasJoined, knewLaterTermAt, onChange} = context
+  const {clock, log, confirmation, hasJoined, hasAnswered, knewLaterTermAt, onChange} = context
   const lease = context.leaseDuration * CLOCK_MARGIN
   const startedAt = clock.now()
   const unreportedWorkers = new Set<WorkerState>()
   let earlierLeaders: readonly EarlierLeader[] | undefined
   /** The term in which each instance last led. */
   let lastTerms: ReadonlyMap<string, number> = new Map()
-  /** Since when too few followers are left to a leader, by its name. */
-  const isolatedSince = new Map<string, Milliseconds>()
+  /** Since when leaders have lacked the support of instances, and of workers, by name. */
+  const withoutInstancesSince = new Map<string, Milliseconds>()
+  const withoutWorkersSince = new Map<string, Milliseconds>()
   /** Since when no earlier leader acts. */
   let stoppedSince: Milliseconds | undefined
 
   /** The store confirms no leader that was replaced, so that its limit counts from then at the latest. */
   function hasPassedLimit({term}: Partial<EarlierLeader>): boolean {
     const replacedAt = term === undefined ? undefined : knewLaterTermAt(term)
-    return clock.now() - Math.min(startedAt, replacedAt ?? startedAt) > UNCONFIRMED_LIMIT_MS
+    return clock.now() - Math.min(startedAt, replacedAt ?? startedAt) > SUPPORTED_LIMIT_MS
+  }
+
+  function lackedFor(since: ReadonlyMap<string, Milliseconds>, leader: string): Milliseconds {
+    return clock.now() - (since.get(leader) ?? Infinity)
   }
 
-  /** Why an earlier leader must have stopped; undefined if it may still act. */
-  function findStopReason(leader: EarlierLeader): "follows" | "isolated" | "limit-passed" | undefined {
-    if (hasJoined(leader.name)) return "follows"
+  /** Undefined if the leader may still act. */
+  function findStopReason(leader: EarlierLeader): StopReason | undefined {
+    const {name} = leader
+    if (hasJoined(name)) return "follows"
     if (hasPassedLimit(leader)) return "limit-passed"
-    const since = isolatedSince.get(leader.name)
-    return since !== undefined && clock.now() - since > ISOLATED_LIMIT_MS ? "isolated" : undefined
+    if (hasStoppedWithout(lackedFor(withoutInstancesSince, name), INSTANCE_SUPPORT)) return "lacks-instances"
+    if (hasStoppedWithout(lackedFor(withoutWorkersSince, name), WORKER_SUPPORT)) return "lacks-workers"
+    return undefined
+  }
+
+  /** Leaves out those that support the leader no longer, and notes since when it lacks support. None of them returns. */
+  function updateSupporters(
+    supporters: Supporters | undefined,
+    leader: string,
+    lackingSince: Map<string, Milliseconds>,
+    hasLeft: (name: string) => boolean,
+  ): Supporters | undefined {
+    const left = supporters && {...supporters, names: supporters.names.filter(name => !hasLeft(name))}
+    if (left && lacksSupport(left) && !lackingSince.has(leader)) lackingSince.set(leader, clock.now())
+    return left
   }
 
-  /** Leaves out followers that now follow this leader or have led later, since none of them returns. */
-  function updateFollowing(leader: EarlierLeader): EarlierLeader {
-    const {name, term, following} = leader
-    if (!following || term === undefined) return leader
-    const names = following.names.filter(one => !hasJoined(one) && !((lastTerms.get(one) ?? 0) > term))
-    if (names.length <= following.missable && !isolatedSince.has(name)) isolatedSince.set(name, clock.now())
-    return {...leader, following: {...following, names}}
+  function updateLeader(leader: EarlierLeader): EarlierLeader {
+    const {name, term} = leader
+    if (term === undefined) return leader
+    // An instance that has led later follows no leader before.
+    const hasLeft = (other: string): boolean => hasJoined(other) || (lastTerms.get(other) ?? 0) > term
+    const following = updateSupporters(leader.following, name, withoutInstancesSince, hasLeft)
+    const answering = updateSupporters(leader.answering, name, withoutWorkersSince, hasAnswered)
+    return {...leader, following, answering}
   }
 
   function updateEarlierLeaders(): void {
     const before = earlierLeaders?.length
     if (!earlierLeaders && hasPassedLimit({})) earlierLeaders = []
-    earlierLeaders = earlierLeaders?.map(updateFollowing).filter(leader => {
+    earlierLeaders = earlierLeaders?.map(updateLeader).filter(leader => {
       const reason = findStopReason(leader)
       if (reason) {
         const after = Math.round(clock.now() - startedAt)
+        const left = {instances: leader.following?.names.length, workers: leader.answering?.names.length}
         log.info(
-          {event: "earlier-leader-stopped", leader: leader.name, ledTerm: leader.term, reason, after},
+          {event: "earlier-leader-stopped", leader: leader.name, ledTerm: leader.term, reason, left, after},
           "an earlier leader no longer extends leases",
         )
       }
--- a/src/planner/earlierleaders.ts
+++ b/src/planner/earlierleaders.ts
@@ -1,10 +1,12 @@
 /**
  * Which leaders of earlier terms may still extend leases, and who may still follow them. The claim of a leader names those
  * before it, in the same write that makes it the leader, so that its successor knows them even if it fails at once. The
- * record of the term, which it writes later, leaves out those that have stopped since, and names its own followers.
+ * record of the term, which it writes later, leaves out those that have stopped since, and names its own followers and
+ * workers that answer it.
  */
 import type {StoredItem} from "../pipelines/ports.js"
-import {countMissable} from "./followers.js"
+import {INSTANCE_SUPPORT, supportersOf, WORKER_SUPPORT} from "../pipelines/support.js"
+import type {Supporters} from "../pipelines/support.js"
 import type {EarlierLeader, FormerTerm, TermRecord} from "./records.js"
 import {parseLeader, parseTerm} from "./records.js"
 import type {StoredWork} from "./storedwork.js"
@@ -12,6 +14,8 @@
 /** Undefined if the leaders are not known. */
 type EarlierLeaders = readonly EarlierLeader[] | undefined
 
+const NOBODY: Supporters = {names: [], missable: 0}
+
 /** The term that the first claim of all replaces. */
 export const NO_FORMER_TERM: FormerTerm = {term: 0, leader: undefined, earlierLeaders: []}
 
@@ -38,18 +42,19 @@
 }
 
 /**
- * Adds who may follow the leaders, by the last record that was written. Its writer knew who may follow the leaders before
- * it. Those after it have written no record, so that nobody counts as their follower.
+ * Adds who may support the leaders, by the last record that was written. Its writer knew who may support the leaders
+ * before it. Those after it have written no record, so that nobody counts as their supporter.
  */
-function addFollowing(leaders: readonly EarlierLeader[], record: TermRecord | undefined): EarlierLeaders {
-  const withoutFollowers = {names: [], missable: 0}
+function addSupporters(leaders: readonly EarlierLeader[], record: TermRecord | undefined): EarlierLeaders {
   const complete = leaders.map((leader): EarlierLeader => {
-    const {term, following} = leader
+    const {term} = leader
     if (term === undefined) return leader
-    if (term > (record?.term ?? 0)) return {...leader, following: withoutFollowers}
-    if (term !== record?.term) return {...leader, following}
-    const {followers: names} = record
-    return {...leader, following: {names, missable: countMissable(names.length)}}
+    if (term > (record?.term ?? 0)) return {...leader, following: NOBODY}
+    if (term !== record?.term) return leader
+    const {followers, answeringWorkers} = record
+    const following = supportersOf(followers, INSTANCE_SUPPORT)
+    if (!answeringWorkers) return {...leader, following}
+    return {...leader, following, answering: supportersOf(answeringWorkers, WORKER_SUPPORT)}
   })
   const writer = leaders.findIndex(({term}) => term !== undefined && term === record?.term)
   const before = writer < 0 ? undefined : record?.earlierLeaders
@@ -68,5 +73,5 @@
       ? {...former, earlierLeaders: record.earlierLeaders ?? former.earlierLeaders}
       : former,
   )
-  return leaders && addFollowing(leaders, record)
+  return leaders && addSupporters(leaders, record)
 }
--- a/src/planner/followers.ts
+++ b/src/planner/followers.ts
@@ -1,33 +1,31 @@
 /**
- * The followers of a leader, for one term. A leader whose store is silent goes on as long as it is followed, so its
- * successor has to know all instances that can count as its followers. A follower therefore counts only while the term
- * record in the store names it, and only by pings that answer to recent ones: a ping that was delivered late proves
- * nothing. Of the recorded followers a leader needs more than its successor can do without, so that a few instances
- * that failed together with the leader leave the successor in no doubt.
+ * The followers of a leader, for one term: the instances that ping it, or the workers that answer it. A leader whose store
+ * is silent goes on as long as enough of them follow it (`support.ts`), so its successor has to know all that can count. A
+ * follower therefore counts only while the term record in the store names it, and only by answers to recent calls: an
+ * answer that was delivered late proves nothing. Time counts while the machine is suspended, since other leaders may
+ * come meanwhile.
  */
 import type {Clock, Milliseconds} from "../core/clock.js"
+import {createElapsedTime} from "../core/elapsedtime.js"
+import type {ElapsedTime} from "../core/elapsedtime.js"
+import {hash32} from "../core/hash.js"
+import {countMissable, INSTANCE_SUPPORT} from "../pipelines/support.js"
+import type {SupportRule} from "../pipelines/support.js"
 
-/** A follower that has not pinged for this long is taken out of the record. Members of a large fleet ping every 0.6 s. */
+/** A follower that has not been heard for this long is taken out of the record. Members of a large fleet ping every 0.6 s. */
 const RECORD_TIMEOUT_MS: Milliseconds = 3000
-/** A leader is not followed when no more than this share of the recorded followers follow it. */
-const MISSING_SHARE = 1 / 4
-
-/** How many of the recorded followers may be missing: too few for the former leader, not needed by its successor. */
-export function countMissable(recordedFollowers: number): number {
-  return Math.floor(recordedFollowers * MISSING_SHARE)
-}
 
 export interface Followers {
   /**
-   * Records a ping that names this term. `answeredAt` is the time on this leader's clock at which it gave the latest
-   * answer that the follower had; 0 before the first one.
+   * Records that the follower was heard under this term. `answeredAt` is the time on this leader's clock at which an
+   * instance had its latest answer from the leader, or a worker was asked; 0 for a process that has just been met.
    */
   readonly record: (name: string, answeredAt: Milliseconds) => void
-  /** True if the instance has followed this leader. */
+  /** True if the follower was heard in this term. It follows no earlier leader any more. */
   readonly hasJoined: (name: string) => boolean
   /** True if enough recorded followers have followed this leader within the given time. */
   readonly isFollowed: (within: Milliseconds) => boolean
-  /** The instances that follow this leader at present. */
+  /** The followers that are heard at present, as far as they are recorded. */
   readonly current: () => readonly string[]
   /** The names that the record should have; undefined if it has them or is being written. */
   readonly namesToRecord: () => readonly string[] | undefined
@@ -38,13 +36,19 @@
 }
 
 interface Follower {
-  readonly pingedAt: Milliseconds
+  readonly heardAt: Milliseconds
   /** -Infinity before the first answer. */
   readonly answeredAt: Milliseconds
 }
 
-export function createFollowers(clock: Clock): Followers {
+export function createFollowers(
+  clock: Clock,
+  rule: SupportRule = INSTANCE_SUPPORT,
+  elapsed: ElapsedTime = createElapsedTime(clock),
+): Followers {
   const followers = new Map<string, Follower>()
+  /** All names that were heard, in an order that has nothing to do with where the followers are. */
+  let sampleOrder: readonly string[] = []
   /** Names in the stored record and in those written since, less processes that have started since. */
   let recorded = new Set<string>()
   let recording: Set<string> | undefined
@@ -52,8 +56,15 @@
   let recordSizes: readonly number[] = [0]
 
   function listCurrent(): readonly string[] {
+    if (sampleOrder.length < followers.size)
+      sampleOrder = [...followers.keys()].sort((one, other) => hash32(one) - hash32(other))
     const now = clock.now()
-    return [...followers].filter(([, {pingedAt}]) => now - pingedAt < RECORD_TIMEOUT_MS).map(([name]) => name)
+    const current: string[] = []
+    for (const name of sampleOrder) {
+      if (current.length >= rule.most) break
+      if (now - (followers.get(name)?.heardAt ?? -Infinity) < RECORD_TIMEOUT_MS) current.push(name)
+    }
+    return current
   }
 
   return {
@@ -66,17 +77,16 @@
       }
       const earlier = followers.get(name)?.answeredAt ?? -Infinity
       followers.set(name, {
-        pingedAt: clock.now(),
+        heardAt: clock.now(),
         answeredAt: isNew ? earlier : Math.max(answeredAt, earlier),
       })
     },
     hasJoined: name => followers.has(name),
     isFollowed(within) {
-      const now = clock.now()
       const recent = [...recorded].filter(
-        name => now - (followers.get(name)?.answeredAt ?? -Infinity) < within,
+        name => elapsed.since(followers.get(name)?.answeredAt ?? -Infinity) < within,
       )
-      return recent.length > countMissable(Math.max(...recordSizes))
+      return recent.length > countMissable(Math.max(...recordSizes), rule)
     },
     current: listCurrent,
     namesToRecord() {
--- a/src/planner/instance.ts
+++ b/src/planner/instance.ts
@@ -10,6 +10,7 @@
 import type {FleetClients, FleetHandlers, Member, Ping, PingAnswer, QueueLoad} from "../peer/fleet.js"
 import type {FleetConfiguration} from "../pipelines/model.js"
 import type {AdviceCalls, FleetReader, KeyValueStore, WorkerCalls} from "../pipelines/ports.js"
+import type {LeaderDuty} from "../pipelines/succession.js"
 import {createAdviceCaller} from "./advicecaller.js"
 import type {AdviceRequester} from "./advicedispatcher.js"
 import {createAuthorizer} from "./authorizer.js"
@@ -82,6 +83,8 @@
 /** An instance that has had no leader for this long reports that it is not ready. */
 const MAX_LEADERLESS_MS: Milliseconds = 3000
 
+const NO_DUTY: LeaderDuty = {plannedFor: 0, openSteps: 0, unreportedWorkers: 0}
+
 export function createFleetInstance(identity: InstanceIdentity, ports: InstancePorts): FleetInstance {
   const {clock, log, reader, clients, advice} = ports
   const storeHealth = watchStoreHealth(ports.store, clock, log, ports.probeStore)
@@ -109,7 +112,7 @@
       updater.recordLeaderVersion(answer.configurationVersion, answer.configurationAgeMs, sentAt)
     },
     isStoreFailing: () => storeHealth.failingFor() > 0,
-    duty: () => planner?.duty() ?? {plannedFor: 0, openSteps: 0},
+    duty: () => planner?.duty() ?? NO_DUTY,
   })
   const updater = createConfigurationUpdater({
     clock,
--- a/src/planner/leadership.ts
+++ b/src/planner/leadership.ts
@@ -19,6 +19,7 @@
 import {createClaimOrder, MAX_CLAIM_DELAY_MS} from "./claimorder.js"
 import {createMembers} from "./members.js"
 import {describeFormerTerm, NO_FORMER_TERM} from "./earlierleaders.js"
+import {mayBeAlive} from "./heartbeat.js"
 import type {FormerTerm} from "./records.js"
 import {formatLeader, LEADER_KEY, parseLeader, TERM_KEY} from "./records.js"
 import {NO_ROUND_TRIPS, observeAnswer, observeSilence, pingTimeout, secondPingTimeout} from "./roundtrips.js"
@@ -348,6 +349,11 @@
     return {verdict: isIsolated ? "isolated" : "silent", peers}
   }
 
+  /** False if this instance has learned of another leader meanwhile, or must not lead itself. */
+  function mayReplace(leader: LeaderView | undefined): boolean {
+    return !isStopped && !isLeading && !isDraining && currentLeader === leader
+  }
+
   /** Claims the leader key if it is absent or its leader has not been heard since `silentSince`. */
   async function resolveLeader(silentSince: Milliseconds, hasRefused = false): Promise<void> {
     const view = currentLeader
@@ -356,7 +362,7 @@
     const sentAt = clock.now()
     const [read, termRecord] = await Promise.all([store.read(LEADER_KEY), store.read(TERM_KEY)])
     // A leader that became known meanwhile, as by its announcement, has not been found silent.
-    if (isStopped || isLeading || isDraining || currentLeader !== view) return
+    if (!mayReplace(view)) return
     if (read.isErr() || termRecord.isErr()) {
       if (!view) await pingPeers()
       return
@@ -370,8 +376,15 @@
     const term = currentLeader?.term ?? 0
     if (item.revision > term) applyLeaderItem(item, sentAt)
     if (currentLeader && item.revision > term) return
-    if (verdict === "isolated") return
     const replaced = currentLeader
+    if (verdict === "isolated") {
+      if (await mayBeAlive(clock, store, item.revision)) return
+      if (!mayReplace(replaced)) return
+      log.warn(
+        {event: "heartbeat-ended", term: item.revision},
+        "no instance answers, and the leader writes no heartbeat to the store any more",
+      )
+    }
     // An instance that led before its restart has asked nobody. Those that are up answer within the usual delay.
     const asked = view ? peers : await withTimeout(clock, pingPeers(), MAX_CLAIM_DELAY_MS, [])
     if (currentLeader === replaced) await standBack(item.revision, asked)
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -17,7 +17,7 @@
 import {createAcceptedMemory} from "./acceptedmemory.js"
 import type {AdviceRequester} from "./advicedispatcher.js"
 import {createAdviceDispatcher} from "./advicedispatcher.js"
-import {createBarrier, unconfirmedLimit} from "./barrier.js"
+import {createBarrier} from "./barrier.js"
 import {createConfirmation} from "./confirmation.js"
 import type {LeaderDuty} from "../pipelines/succession.js"
 import {watchPrefix} from "./prefixwatch.js"
@@ -26,9 +26,10 @@
 import {isSlow} from "../pipelines/workerspeeds.js"
 import {findEarlierLeaders} from "./earlierleaders.js"
 import {createLeaderLoad} from "./leaderload.js"
+import {createLeaderSupport} from "./leadersupport.js"
 import type {LeaderBacklog} from "./leaderload.js"
+import {createHeartbeat} from "./heartbeat.js"
 import {createHoldLog} from "./holdlog.js"
-import {createFollowers} from "./followers.js"
 import {createLedger} from "./ledger.js"
 import {throttleWorker} from "./throttle.js"
 import {isUsable} from "./candidates.js"
@@ -43,6 +44,7 @@
 import {readStoredWork} from "./storedwork.js"
 import {
   formatTerm,
+  HEARTBEAT_KEY,
   jobKey,
   LEADER_KEY,
   parseKey,
@@ -117,8 +119,6 @@
 }
 
 const SWEEP_MS: Milliseconds = 200
-/** A leader asks the store whether it still leads when the other calls have not told so for this share of its limit. */
-const CONFIRMATION_SHARE = 1 / 3
 /** Poll interval of the worker entries, well within the two seconds in which a drain must take effect. */
 const WORKER_POLL_MS: Milliseconds = 350
 /** How long a leader whose term a worker refuses waits for the store; a slow but working store answers within 0.35 s. */
@@ -172,19 +172,21 @@
     onConfirmed: releaseExpired,
     onSuperseded: handleSuperseded,
   })
+  const heartbeat = createHeartbeat(clock, ledger, term)
   const leaderLoad = createLeaderLoad(clock, log, term)
   const learnedRuns = createLearnedRuns(clock, log, limits.remoteFactor)
   const nearWaits = createNearWaits(clock, log, limits.remoteFactor, learnedRuns)
   const planningPass = createPlanningPass(clock, nearWaits)
-  const followers = createFollowers(clock)
+  const support = createLeaderSupport(clock, log, confirmation)
   const barrier = createBarrier({
     clock,
     log,
     leaseDuration: limits.leaseDuration,
     confirmation,
-    hasJoined: name => name === ports.self || followers.hasJoined(name),
+    hasJoined: name => name === ports.self || support.hasJoined(name),
+    hasAnswered: support.hasAnswered,
     knewLaterTermAt: ports.knewLaterTermAt,
-    onChange: () => writeTerm(followers.current()),
+    onChange: writeTerm,
   })
   const queueServices = createQueueServices()
   const adviceDispatcher = createAdviceDispatcher(clock, log, adviceRequesters)
@@ -199,6 +201,7 @@
 
   const events: WorkerLinkEvents = {
     async onReport(worker, report, sentAt) {
+      support.recordWorker(worker, report.bornAt, sentAt)
       const stored = reports.handleReport(worker, report, sentAt)
       throttleWorker(worker, pool.linkOf(worker))
       await stored
@@ -282,13 +285,16 @@
     return [...jobs.active.values()].some(({job}) => job.queue.name === name)
   }
 
-  /** Records the followers, and leaves out earlier leaders that have stopped. */
-  function writeTerm(names: readonly string[]): void {
-    followers.beginRecording(names)
-    const usedServices = queueServices.beginRecording(isQueueKept)
-    const earlierLeaders = barrier.earlierLeaders()
-    ledger.writeRecord(TERM_KEY, formatTerm({term, earlierLeaders, followers: names, usedServices}), () => {
-      followers.confirmRecording()
+  /** Records who supports this leader, and leaves out earlier leaders that have stopped. */
+  function writeTerm(): void {
+    const record = {
+      term,
+      earlierLeaders: barrier.earlierLeaders(),
+      ...support.beginRecording(),
+      usedServices: queueServices.beginRecording(isQueueKept),
+    }
+    ledger.writeRecord(TERM_KEY, formatTerm(record), () => {
+      support.confirmRecording()
       queueServices.confirmRecording()
       schedulePass()
     })
@@ -332,14 +338,8 @@
     schedulePass,
   })
 
-  function unconfirmedFor(): Milliseconds {
-    return clock.now() - confirmation.confirmedAt()
-  }
-
-  /** False when another instance may have become leader without this one knowing. */
   function mayAct(): boolean {
-    if (isClosed || refusingWorkers.size > 0) return false
-    return unconfirmedFor() < unconfirmedLimit(followers.isFollowed)
+    return !isClosed && refusingWorkers.size === 0 && support.mayAct()
   }
 
   /**
@@ -405,7 +405,7 @@
       },
       starter,
     )
-    if (queueServices.needsRecording()) writeTerm(followers.current())
+    if (queueServices.needsRecording()) writeTerm()
     holdLog.record(result.heldSteps, workspaceUses)
     shareLog.record(result.exceededShares)
     openSteps = result.openSteps
@@ -439,10 +439,9 @@
     pool.addOfUsedServices()
     leaderLoad.summarize(describeBacklog)
     releaseExpired()
-    const names = followers.namesToRecord()
-    if (names) writeTerm(names)
-    // Other calls are too rare for a leader that nobody follows when it has little to do.
-    if (unconfirmedFor() > unconfirmedLimit(followers.isFollowed) * CONFIRMATION_SHARE) confirmation.request()
+    heartbeat.beat()
+    if (support.needsRecording()) writeTerm()
+    support.check()
     jobs.removeExpired()
     const next = clock.now() + SWEEP_MS
     clock.after(SWEEP_MS, () => sweep(next))
@@ -523,10 +522,11 @@
     }
     for (const {part, revision} of work.roster) ledger.setRevision(rosterKey(part), revision)
     ledger.setRevision(TERM_KEY, work.termRevision)
+    ledger.setRevision(HEARTBEAT_KEY, work.heartbeatRevision)
     pool.addFromRoster(work.roster)
     barrier.setEarlierLeaders(findEarlierLeaders(work))
     queueServices.addRecorded(work.term?.usedServices ?? {})
-    writeTerm(followers.current())
+    writeTerm()
     for (const job of work.cancelledJobs) void cancel(job, true)
   }
 
@@ -660,8 +660,12 @@
     },
     cancel,
     loads,
-    recordFollower: followers.record,
-    duty: () => ({plannedFor: Math.round(Math.max(0, clock.now() - loadedAt)), openSteps}),
+    recordFollower: support.recordInstance,
+    duty: () => ({
+      plannedFor: Math.round(Math.max(0, clock.now() - loadedAt)),
+      openSteps,
+      unreportedWorkers: barrier.countWorkers(),
+    }),
     schedulePass,
     counts: () => ({
       active: jobs.active.size,
--- a/src/planner/records.ts
+++ b/src/planner/records.ts
@@ -3,6 +3,7 @@
 import type {KeyCondition} from "../pipelines/ports.js"
 import type {Progress} from "../pipelines/progress.js"
 import {NO_PROGRESS} from "../pipelines/progress.js"
+import type {Supporters} from "../pipelines/support.js"
 import type {WorkerListing} from "../pipelines/model.js"
 import type {UsedServices} from "./queueservices.js"
 import type {RemainingRuns} from "./workspaceuse.js"
@@ -11,6 +12,8 @@
 export const LEADER_KEY = `${STORE_PREFIX}leader`
 const ROSTER_KEY = `${STORE_PREFIX}roster`
 export const TERM_KEY = `${STORE_PREFIX}term`
+/** The term of the leader, which it writes again and again. */
+export const HEARTBEAT_KEY = `${STORE_PREFIX}heartbeat`
 /** Jobs, their progress and cancel requests. The leader watches this prefix for changes by other instances. */
 export const WORK_PREFIX = `${STORE_PREFIX}work/`
 const JOB_PREFIX = `${WORK_PREFIX}job/`
@@ -78,15 +81,10 @@
   readonly name: string
   /** The term that it led; undefined in the records of earlier versions. */
   readonly term?: number | undefined
-  /** Those that may still follow it; undefined if they are not known. */
-  readonly following?: Following | undefined
-}
-
-/** The instances that may still follow a leader, of those that it has recorded as its followers. */
-export interface Following {
-  readonly names: readonly string[]
-  /** With no more followers than this, the leader soon stops when the store does not answer it. */
-  readonly missable: number
+  /** The instances that may still follow it; undefined if they are not known. */
+  readonly following?: Supporters | undefined
+  /** The workers that may still answer it; undefined if they are not known. */
+  readonly answering?: Supporters | undefined
 }
 
 /** The term that a claim to lead has replaced. */
@@ -119,6 +117,11 @@
   readonly earlierLeaders?: readonly EarlierLeader[] | undefined
   /** The names of the instances that count as followers of this leader. */
   readonly followers: readonly string[]
+  /**
+   * The names of the workers whose answers count for this leader. Undefined in the records of earlier versions, which act
+   * without the store whatever workers answer them.
+   */
+  readonly answeringWorkers?: readonly string[] | undefined
   /** Undefined in the records of earlier versions. */
   readonly usedServices?: UsedServices | undefined
 }
@@ -172,9 +175,12 @@
   return hasFields(value, "done", "failures", "writtenAt") ? (value as ProgressRecord) : undefined
 }
 
-/** Without its followers, an earlier leader counts as acting until the longest time limit has passed. */
+/** Which instances follow an earlier leader is then not known; the workers that answer it are few and are kept. */
 function omitFollowing<T extends Pick<FormerTerm, "earlierLeaders">>(record: T): T {
-  return {...record, earlierLeaders: record.earlierLeaders?.map(({name, term}) => ({name, term}))}
+  return {
+    ...record,
+    earlierLeaders: record.earlierLeaders?.map(({name, term, answering}) => ({name, term, answering})),
+  }
 }
 
 function isTooLong(text: string): boolean {
--- a/src/planner/storedwork.ts
+++ b/src/planner/storedwork.ts
@@ -2,6 +2,7 @@
 import type {PipelineJob, WorkerListing} from "../pipelines/model.js"
 import type {StoredItem} from "../pipelines/ports.js"
 import {
+  HEARTBEAT_KEY,
   LEADER_KEY,
   parseKey,
   parseJob,
@@ -39,6 +40,7 @@
   /** The record of the latest leader that wrote one. */
   readonly term: TermRecord | undefined
   readonly termRevision: number
+  readonly heartbeatRevision: number
 }
 
 /** Groups the items of the store by the kind of their key. Items that cannot be parsed are skipped, except progress. */
@@ -70,5 +72,6 @@
     roster,
     term: term && parseTerm(term.value),
     termRevision: term?.revision ?? 0,
+    heartbeatRevision: items.find(({key}) => key === HEARTBEAT_KEY)?.revision ?? 0,
   }
 }
--- a/test/fleet/barrier.test.ts
+++ b/test/fleet/barrier.test.ts
@@ -2,6 +2,7 @@
 import test from "ava"
 import {SILENT_LOGGER} from "../../src/core/logger.js"
 import {virtualClock} from "../../src/core/virtualclock.js"
+import {supportersOf, WORKER_SUPPORT} from "../../src/pipelines/support.js"
 import {createBarrier} from "../../src/planner/barrier.js"
 import type {EarlierLeader} from "../../src/planner/records.js"
 import {createWorker} from "../../src/planner/state.js"
@@ -14,6 +15,8 @@
   readonly leaders: readonly EarlierLeader[] | undefined
   /** When each instance joins, after the beginning of the term. */
   readonly joins?: Readonly<Record<string, number>>
+  /** When each worker first answers this leader, after the beginning of the term. */
+  readonly answers?: Readonly<Record<string, number>>
   readonly knewLaterTermFor?: (term: number) => number
   /** How long the store confirms this leader, after the beginning of the term. */
   readonly confirmedFor?: number
@@ -30,6 +33,7 @@
       request: () => undefined,
     },
     hasJoined: name => clock.now() - startedAt >= (options.joins?.[name] ?? Infinity),
+    hasAnswered: worker => clock.now() - startedAt >= (options.answers?.[worker] ?? Infinity),
     knewLaterTermAt: term => startedAt - (options.knewLaterTermFor?.(term) ?? 0),
     onChange: () => undefined,
   })
@@ -85,3 +89,35 @@
   t.true((await closedFor({leaders})) < expired + 500)
   t.is(await closedFor({leaders, confirmedFor: expired - 100}), Infinity)
 })
+
+const WORKERS = ["worker-1", "worker-2", "worker-3", "worker-4", "worker-5", "worker-6"]
+const answering = (names: readonly string[]) => supportersOf(names, WORKER_SUPPORT)
+
+// Review case 13: nothing but the longest limit told that a leader had stopped which was lost with many of its followers.
+test("a leader whose followers are lost with it has stopped when half of its workers answer this leader", async t => {
+  const leaders = [
+    {name: "entry-1", term: 10, following: following(FOLLOWERS, 1), answering: answering(WORKERS)},
+  ]
+  const answers = Object.fromEntries(WORKERS.slice(0, 3).map(name => [name, 500]))
+  const closed = await closedFor({leaders, answers})
+  t.true(closed > 500 + WORKER_SUPPORT.within + LEASE_MS, "the time without workers and one lease pass")
+  t.true(closed < 500 + WORKER_SUPPORT.within + LEASE_MS * 1.1 + 500)
+  const tooFew = Object.fromEntries(WORKERS.slice(0, 2).map(name => [name, 500]))
+  t.true((await closedFor({leaders, answers: tooFew})) > 15_000 + LEASE_MS)
+})
+
+test("the workers of a leader of an earlier version show nothing", async t => {
+  const leaders = [{name: "entry-1", term: 10, following: following(FOLLOWERS, 1)}]
+  const answers = Object.fromEntries(WORKERS.map(name => [name, 500]))
+  t.true((await closedFor({leaders, answers})) > 15_000 + LEASE_MS)
+})
+
+test("each leader counts by its own workers", async t => {
+  const answers = Object.fromEntries(WORKERS.map(name => [name, 500]))
+  const others = answering(["worker-7", "worker-8", "worker-9"])
+  const leaders = [
+    {name: "entry-1", term: 10, following: following(FOLLOWERS, 1), answering: others},
+    {name: "entry-2", term: 20, following: following(FOLLOWERS, 1), answering: answering(WORKERS)},
+  ]
+  t.true((await closedFor({leaders, answers})) > 15_000 + LEASE_MS)
+})
--- a/test/fleet/earlierleaders.test.ts
+++ b/test/fleet/earlierleaders.test.ts
@@ -45,6 +45,26 @@
   t.snapshot(findEarlierLeaders(readStoredWork([third, record])))
 })
 
+test("which workers answer a leader is told by its own record, and carried on by those after it", t => {
+  const first = claimOf("entry-1", 10, NO_FORMER_TERM)
+  const firstRecord = recordOf({
+    term: 10,
+    earlierLeaders: [],
+    followers: ["entry-2"],
+    answeringWorkers: ["worker-1", "worker-2", "worker-3"],
+  })
+  const second = claimOf("entry-2", 20, describeFormerTerm(first, firstRecord))
+  const found = findEarlierLeaders(readStoredWork([second, firstRecord]))
+  const secondRecord = recordOf({
+    term: 20,
+    earlierLeaders: found,
+    followers: ["entry-3"],
+    answeringWorkers: ["worker-2", "worker-4"],
+  })
+  const third = claimOf("entry-3", 30, describeFormerTerm(second, secondRecord))
+  t.snapshot([found, findEarlierLeaders(readStoredWork([third, secondRecord]))])
+})
+
 test("of an instance that has led twice only the later term counts", t => {
   const first = claimOf("entry-1", 10, NO_FORMER_TERM)
   const second = claimOf("entry-2", 20, describeFormerTerm(first, undefined))
@@ -93,6 +113,7 @@
     name: `leader-${index}`,
     term: index + 1,
     following: {names, missable: 1750},
+    answering: {names: ["worker-1", "worker-2"], missable: 1},
   }))
   const record = recordOf({term: 20, earlierLeaders, followers: names})
   const claim = claimOf("entry-3", 30, {term: 20, leader: "entry-2", earlierLeaders})
@@ -104,4 +125,8 @@
     Array.from({length: 15}, () => undefined),
   )
   t.is(found.at(-1)?.following?.names.length, 7000)
+  t.true(
+    found.slice(0, 15).every(({answering}) => answering?.names.length === 2),
+    "the workers are kept",
+  )
 })
--- a/test/fleet/failures.test.ts
+++ b/test/fleet/failures.test.ts
@@ -214,11 +214,21 @@
   t.deepEqual(fleet.workers.violations(), [])
 })
 
-/** Cuts the leader off, together with two followers and a worker that runs tasks, from the store and everything else. */
+/** The two workers that run tasks, and the idle ones. */
+function listHolders(fleet: TestFleet) {
+  const byWorker = [...fleet.workers.runningByWorker()]
+  const [holder = "", otherHolder = ""] = byWorker.filter(([, tasks]) => tasks.length > 0).map(([id]) => id)
+  return {holder, otherHolder, idle: byWorker.filter(([, tasks]) => tasks.length === 0).map(([id]) => id)}
+}
+
+/**
+ * Cuts the leader off, together with two followers, a worker that runs tasks and two idle ones, from the store and
+ * everything else. It goes on with the support of these followers and of most workers.
+ */
 async function partitionLeader({hasDeafWatches = false} = {}) {
   const fleet = testFleet({
     instances: 6,
-    workers: 2,
+    workers: 4,
     planOf: () => ({demand: STEP.demand, duration: 60_000}),
   })
   await fleet.clock.advance(1000)
@@ -228,22 +238,23 @@
   const former = fleet.leader() ?? ""
   const [first = "", second = "", ...others] = fleet.names().filter(name => name !== former)
   const cutOff = [former, first, second]
+  const {holder, otherHolder, idle} = listHolders(fleet)
   for (const name of others) {
-    fleet.workers.disconnect("worker-1", name)
+    for (const worker of [holder, ...idle]) fleet.workers.disconnect(worker, name)
     for (const one of cutOff) fleet.partition(one, name)
   }
   if (hasDeafWatches) fleet.store.deafenWatches(former)
+  const spare = listingOf("worker-5")
   for (const name of cutOff) {
     fleet.store.setMode("silent", name)
-    for (const worker of ["worker-2", "worker-3"]) fleet.workers.disconnect(worker, name)
+    for (const worker of [otherHolder, spare.id]) fleet.workers.disconnect(worker, name)
   }
-  const spare = listingOf("worker-3")
   fleet.workers.addWorker(spare)
   fleet.register(spare)
   await fleet.clock.advance(2500)
   const leads = (name: string): boolean => fleet.instance(name).counts().leads === 1
   const findLater = (): string => others.filter(name => fleet.names().includes(name)).find(leads) ?? ""
-  return {fleet, cutOff, findLater}
+  return {fleet, cutOff, workersWithin: [holder, ...idle], findLater}
 }
 
 // The leader of a zone that was cut off counted the leases of workers beyond the cut as expired, while the leader that had
@@ -337,13 +348,13 @@
 }
 
 /**
- * Cuts the leader off alone, with a worker that runs tasks. The followers have joined another leader, which starts the
- * tasks again once the leases of the first one have expired.
+ * Cuts the leader off without its followers, with a worker that runs tasks and two idle ones. The followers have joined
+ * another leader, which starts the tasks again once the leases of the first one have expired.
  */
 async function isolateLeader(prepare: (fleet: TestFleet, leader: string) => void = () => undefined) {
   const fleet = testFleet({
     instances: 4,
-    workers: 2,
+    workers: 4,
     planOf: () => ({demand: STEP.demand, duration: 60_000}),
   })
   await fleet.clock.advance(1000)
@@ -351,16 +362,17 @@
   await fleet.clock.advance(300)
   const former = fleet.leader() ?? ""
   const others = fleet.names().filter(name => name !== former)
+  const {holder, otherHolder, idle} = listHolders(fleet)
   prepare(fleet, former)
   await fleet.clock.advance(20)
   const {term, clockMs} = fleet.instance(former).handlers.ping(pingOf("", 0, 0))
   for (const name of others) {
-    fleet.workers.disconnect("worker-1", name)
+    for (const worker of [holder, ...idle]) fleet.workers.disconnect(worker, name)
     fleet.partition(former, name)
   }
   fleet.store.setMode("silent", former)
-  for (const worker of ["worker-2", "worker-3"]) fleet.workers.disconnect(worker, former)
-  const spare = listingOf("worker-3")
+  const spare = listingOf("worker-5")
+  for (const worker of [otherHolder, spare.id]) fleet.workers.disconnect(worker, former)
   fleet.workers.addWorker(spare)
   fleet.register(spare)
   await fleet.clock.advance(9000)
@@ -426,8 +438,8 @@
 })
 
 test("an unlisted worker that may run tasks of an earlier leader stays in the roster for later leaders", async t => {
-  const {fleet, findLater} = await partitionLeader()
-  fleet.unregister("worker-1")
+  const {fleet, workersWithin, findLater} = await partitionLeader()
+  for (const worker of workersWithin) fleet.unregister(worker)
   await fleet.clock.advance(4000)
   fleet.kill(findLater())
   await fleet.clock.advance(4000)
@@ -872,7 +884,9 @@
   await fleet.submit("entry-1", jobOf(990, [{}]))
   await fleet.clock.advance(1000)
   t.is(fleet.workers.startCounts().size, 1)
+  fleet.store.delayCommits(2000, "entry-1")
   await fleet.clock.advance(12_000)
+  fleet.store.delayCommits(0, "entry-1")
   t.is(fleet.workers.running().length, 1)
   t.is(Math.max(...fleet.workers.startCounts().values()), 1)
   const late = jobOf(991, [{}])
--- a/test/fleet/followers.test.ts
+++ b/test/fleet/followers.test.ts
@@ -1,7 +1,8 @@
 /** Which instances count as followers of a leader that the store does not answer. */
 import test from "ava"
 import {virtualClock} from "../../src/core/virtualclock.js"
-import {countMissable, createFollowers} from "../../src/planner/followers.js"
+import {countMissable, INSTANCE_SUPPORT, WORKER_SUPPORT} from "../../src/pipelines/support.js"
+import {createFollowers} from "../../src/planner/followers.js"
 
 const WITHIN_MS = 1500
 
@@ -66,9 +67,9 @@
   followers.confirmRecording()
   const follow = (count: number): void =>
     names.slice(0, count).forEach(name => followers.record(name, clock.now()))
-  follow(countMissable(names.length))
+  follow(countMissable(names.length, INSTANCE_SUPPORT))
   t.false(followers.isFollowed(WITHIN_MS))
-  follow(countMissable(names.length) + 1)
+  follow(countMissable(names.length, INSTANCE_SUPPORT) + 1)
   t.true(followers.isFollowed(WITHIN_MS))
   followers.beginRecording(names.slice(0, 3))
   t.true(followers.isFollowed(WITHIN_MS))
@@ -78,3 +79,36 @@
   followers.confirmRecording()
   t.true(followers.isFollowed(WITHIN_MS))
 })
+
+test("the record names a sample of the workers, which changes only with them", async t => {
+  const clock = virtualClock(1000)
+  const workers = createFollowers(clock, WORKER_SUPPORT)
+  const names = Array.from({length: 300}, (_, index) => `worker-${index}`)
+  const hear = (heard: readonly string[]): void => heard.forEach(name => workers.record(name, clock.now()))
+  hear(names)
+  const sample = workers.current()
+  t.is(sample.length, WORKER_SUPPORT.most)
+  workers.beginRecording(sample)
+  workers.confirmRecording()
+  hear([...names].reverse())
+  t.is(workers.namesToRecord(), undefined)
+  const [lost] = sample
+  await clock.advance(2999)
+  hear(names.filter(name => name !== lost))
+  t.is(workers.namesToRecord(), undefined)
+  await clock.advance(1)
+  const next = workers.namesToRecord() ?? []
+  t.deepEqual([next.length, next.filter(name => !sample.includes(name)).length], [WORKER_SUPPORT.most, 1])
+})
+
+test("time counts while the machine is suspended, although its monotonic clock stands still", t => {
+  let suspendedFor = 0
+  const clock = {...virtualClock(1000), wallClock: () => 5000 + suspendedFor}
+  const followers = createFollowers(clock)
+  followers.beginRecording(["entry-2"])
+  followers.confirmRecording()
+  followers.record("entry-2", 1000)
+  t.true(followers.isFollowed(WITHIN_MS))
+  suspendedFor = WITHIN_MS
+  t.false(followers.isFollowed(WITHIN_MS))
+})
--- a/test/fleet/leadership.test.ts
+++ b/test/fleet/leadership.test.ts
@@ -47,7 +47,7 @@
     onDeposed: () => void events.push("deposed"),
     onLeaderAnswer: () => undefined,
     isStoreFailing: () => false,
-    duty: () => ({plannedFor: 0, openSteps: 0}),
+    duty: () => ({plannedFor: 0, openSteps: 0, unreportedWorkers: 0}),
   })
   leadership.start()
   await clock.advance(500)
@@ -122,7 +122,7 @@
       onDeposed: () => undefined,
       onLeaderAnswer: () => undefined,
       isStoreFailing: () => false,
-      duty: () => ({plannedFor: 0, openSteps: 0}),
+      duty: () => ({plannedFor: 0, openSteps: 0, unreportedWorkers: 0}),
     })
     leadership.start()
     await clock.advance(announcedAt)
--- a/test/fleet/succession.test.ts
+++ b/test/fleet/succession.test.ts
@@ -18,7 +18,7 @@
 const STRONG = contender("strong", 1.35, 140)
 const NARROW = contender("narrow", 0.81, 7)
 const SMALL = contender("small", 0.243, 7)
-const CALM: LeaderDuty = {plannedFor: 10_000, openSteps: 5}
+const CALM: LeaderDuty = {plannedFor: 10_000, openSteps: 5, unreportedWorkers: 0}
 
 function namesOf(contenders: readonly Contender[]): readonly string[] {
   return contenders.map(({name}) => name)
@@ -74,9 +74,15 @@
   t.deepEqual(findSuccessors(STRONG, [middle, contender("other", 1.35, 0)], CALM), [])
 })
 
+// A successor would have held accepted work back anew, for workers that were lost with an earlier leader.
+test("a leader does not hand over while a worker may run tasks of an earlier leader", t => {
+  const middle = contender("middle", 0.81, 0)
+  t.deepEqual(findSuccessors(middle, [STRONG], {...CALM, unreportedWorkers: 1}), [])
+})
+
 test("a weak leader hands over at once, also under a backlog and to a cold instance", t => {
   const cold = {...STRONG, name: "cold", isWarm: false}
-  const duty = {plannedFor: 0, openSteps: 200}
+  const duty = {plannedFor: 0, openSteps: 200, unreportedWorkers: 3}
   t.deepEqual(namesOf(findSuccessors(NARROW, [cold, SMALL, STRONG], duty)), ["strong", "cold"])
   t.deepEqual(findSuccessors(NARROW, [SMALL], duty), [])
 })
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -141,11 +141,15 @@
   readonly kill: (name: string) => void
   /** Starts an instance, or restarts it after it was killed. */
   readonly start: (name: string) => void
+  /** The machine is gone for good: the instance ends, and calls to it get no answer any more. */
+  readonly remove: (name: string) => void
   /** Drops all calls between the two instances, in both directions. */
   readonly partition: (one: string, other: string) => void
   readonly healPartitions: () => void
   /** Stops the process of the instance, with all that it does and answers. */
   readonly pause: (name: string) => void
+  /** The same for its machine, whose monotonic clock does not count that time. */
+  readonly suspend: (name: string) => void
   readonly resume: (name: string) => void
   /** Keeps the calls and answers that the instance carries as a relay, as if its process was stopped. */
   readonly pauseRelay: (name: string) => void
@@ -188,6 +192,7 @@
   const running = new Map<string, FleetInstance>()
   const deaths = new Map<FleetInstance, Death>()
   const partitions = new Set<string>()
+  const removed = new Set<string>()
   const pauses = createPauses(clock)
   let leaderDelay: Milliseconds = 0
   let incarnations = 0
@@ -198,6 +203,7 @@
   }
 
   function isPartitioned(one: string, other: string): boolean {
+    if (removed.has(one) || removed.has(other)) return true
     return partitions.has(`${one} ${other}`) || partitions.has(`${other} ${one}`)
   }
 
@@ -296,7 +302,7 @@
         store: pauses.storeOf(name, store.portFor(name)),
         probeStore: () => pauses.hold(name, store.portFor(name).read("probe")),
         reader: READER,
-        workers: workers.callsFor(name),
+        workers: pauses.workersOf(name, workers.callsFor(name)),
         advice: adviceOf(name),
         clients: clientsOf(name),
       },
@@ -337,6 +343,13 @@
     return found
   }
 
+  function kill(name: string): void {
+    instance(name).stop()
+    deaths.get(instance(name))?.happen()
+    running.delete(name)
+    channels.endAll(name)
+  }
+
   async function runUntilSettled<T>(promise: Promise<T>): Promise<T> {
     let result: {readonly value: T} | undefined
     void promise.then(value => {
@@ -355,16 +368,16 @@
     names: () => [...running.keys()],
     instance,
     leader: () => [...running].find(([, one]) => one.counts().leads === 1)?.[0],
-    kill(name) {
-      instance(name).stop()
-      deaths.get(instance(name))?.happen()
-      running.delete(name)
-      channels.endAll(name)
-    },
+    kill,
     start,
+    remove(name) {
+      kill(name)
+      removed.add(name)
+    },
     partition: (one, other) => void partitions.add(`${one} ${other}`),
     healPartitions: () => partitions.clear(),
     pause: pauses.pause,
+    suspend: pauses.suspend,
     resume: pauses.resume,
     pauseRelay: channels.pause,
     resumeRelay: channels.resume,
