--- a/src/core/resources.ts
+++ b/src/core/resources.ts
@@ -74,6 +74,14 @@
   return dominantShare(usage, whole) / weight
 }
 
+export function componentwiseMin(one: Resources, other: Resources): Resources {
+  return {
+    processors: Math.min(one.processors, other.processors),
+    memoryMebibytes: Math.min(one.memoryMebibytes, other.memoryMebibytes),
+    accelerators: Math.min(one.accelerators, other.accelerators),
+  }
+}
+
 export function componentwiseMax(one: Resources, other: Resources): Resources {
   return {
     processors: Math.max(one.processors, other.processors),
--- a/src/pipelines/placing.ts
+++ b/src/pipelines/placing.ts
@@ -46,7 +46,8 @@
 /** Contention above this adds no cost. */
 const MAX_CONTENTION = 2
 
-function demandOf(step: Step): Resources {
+/** The capacity that a task occupies on a worker. The processors of a best-effort task are not counted. */
+export function requiredCapacity(step: Step): Resources {
   return step.fills ? {...step.demand, processors: 0} : step.demand
 }
 
@@ -93,7 +94,7 @@
 }
 
 function pack(step: Step, wanted: number, options: readonly WorkerOption[]): readonly string[] {
-  const demand = demandOf(step)
+  const demand = requiredCapacity(step)
   const candidates = options.map(option => ({option, free: option.free, held: option.held, placed: 0}))
   const costs = candidates.map(candidate => costIfItFits(step, demand, candidate))
   const chosen: string[] = []
--- a/src/pipelines/reserving.ts
+++ b/src/pipelines/reserving.ts
@@ -2,12 +2,19 @@
  * Reserves capacity for tasks that fit on no worker at present. Without a reservation, smaller and less urgent tasks
  * would take each piece of capacity as it is freed, and a task that needs a whole worker, or a gang that needs several,
  * would starve. Other tasks may use the capacity that the reservations leave.
+ *
+ * A reservation can last as long as the tasks that are running, and nothing should stand idle meanwhile that others need.
+ * So a task that should end before the reserved capacity becomes free may use it, which is known as backfilling. A task
+ * that lasts has to run whatever waits: it takes reserved capacity if there is no other, where it harms the least.
  */
+import type {Milliseconds} from "../core/clock.js"
 import type {Resources} from "../core/resources.js"
-import {add, fits, NO_RESOURCES} from "../core/resources.js"
+import {add, componentwiseMin, fits, NO_RESOURCES, scale, subtract} from "../core/resources.js"
 import type {Step} from "./model.js"
 import type {WorkerOption} from "./placing.js"
-import {placeTasks} from "./placing.js"
+import {placeTasks, requiredCapacity} from "./placing.js"
+import type {ExpectedRelease} from "./waiting.js"
+import {expectOpenings} from "./waiting.js"
 
 /** Reserved capacity by worker id. */
 export type Reservations = ReadonlyMap<string, Resources>
@@ -59,3 +66,74 @@
     share(free.accelerators, capacity.accelerators),
   )
 }
+
+/** Run times vary, and a task that outlasts its expected run time holds up the step for which the capacity is reserved. */
+const RUN_TIME_MARGIN = 2
+
+/**
+ * True if a task that starts on the worker now should end before one of the tasks for which capacity is reserved there
+ * finds room. `smallest` is the least that one of them needs, and `releases` are expected ends of the tasks on the worker.
+ */
+export function endsBeforeReserved(
+  runTime: Milliseconds,
+  free: Resources,
+  smallest: Resources,
+  releases: readonly ExpectedRelease[],
+): boolean {
+  const longest = runTime * RUN_TIME_MARGIN
+  const place = {free, limit: 1, releases}
+  return expectOpenings(smallest, 1, [place], longest) > longest
+}
+
+/** A worker on which a task that lasts may run. */
+export interface LastingPlace {
+  /** With all that is free, reserved or not. */
+  readonly option: WorkerOption
+  readonly reserved: Resources | undefined
+  /** What would be free if all tasks had ended but those that last. */
+  readonly withoutEnding: Resources
+}
+
+/** What the worker has free and does not need for the reservation once the tasks that end have ended. */
+function freeBesideReservation({option, reserved, withoutEnding}: LastingPlace): Resources {
+  return reserved ? componentwiseMin(option.free, subtract(withoutEnding, reserved)) : option.free
+}
+
+/**
+ * Places tasks that last: on capacity that is not reserved, else where the reservation can be met all the same once other
+ * tasks have ended, else on any reserved capacity. `restarts` of the tasks have run before, so that what is reserved was
+ * not there before either. Any other needs room for two before it takes the place of a task that waits, as users of a
+ * lasting task expect it to start then.
+ */
+export function placeLastingTasks(
+  step: Step,
+  wanted: number,
+  restarts: number,
+  places: readonly LastingPlace[],
+): readonly string[] {
+  const chosen: string[] = []
+
+  /** The workers with the given free capacity, less what the tasks take that were placed so far. */
+  function listOptions(freeOf: (place: LastingPlace) => Resources): readonly WorkerOption[] {
+    return places.map(place => {
+      const placed = chosen.filter(id => id === place.option.id).length
+      const free = subtract(freeOf(place), scale(requiredCapacity(step), placed))
+      return {...place.option, free, held: place.option.held + placed}
+    })
+  }
+
+  function placeOn(freeOf: (place: LastingPlace) => Resources, most: number): void {
+    if (most > 0) chosen.push(...placeTasks(step, most, listOptions(freeOf)))
+  }
+
+  placeOn(({option, reserved}) => freeOutsideReservation(option, reserved), wanted)
+  placeOn(freeBesideReservation, wanted - chosen.length)
+  const left = wanted - chosen.length
+  if (left === 0) return chosen
+  const anyFree = ({option}: LastingPlace): Resources => option.free
+  const open = listOptions(anyFree).filter(({held}) => step.perWorker === 0 || held < step.perWorker)
+  const room = placeTasks({...step, gang: false, perWorker: 0}, 2 * left, open).length
+  const allowed = Math.min(left, Math.max(restarts - chosen.length, Math.floor(room / 2)))
+  if (!step.gang || allowed === left) placeOn(anyFree, allowed)
+  return chosen
+}
--- a/src/pipelines/workspaceroom.ts
+++ b/src/pipelines/workspaceroom.ts
@@ -27,6 +27,8 @@
   readonly workspace: string | undefined
   readonly step: Pick<Step, "demand" | "gang" | "lasting">
   readonly waiting: number
+  /** How many of them have run before. */
+  readonly restarts: number
 }
 
 /** Why a step starts no task: its workspace has no room left now, or its limit admits the step at no time. */
@@ -79,8 +81,11 @@
   held: Resources
 }
 
-/** How many tasks of the demand fit under the limit. No task does while the limit is exceeded in any dimension. */
-function countFitting({limit, occupied, held}: Account, demand: Resources): number {
+/**
+ * How many tasks of the demand fit under the limit, beside the room that is held. No task does while the limit is exceeded
+ * in any dimension.
+ */
+function countFitting({limit, occupied}: Account, held: Resources, demand: Resources): number {
   if (!isWithin(occupied, limit)) return 0
   let count = Infinity
   for (const dimension of DIMENSIONS) {
@@ -91,6 +96,19 @@
   return Math.max(0, count)
 }
 
+/**
+ * How many of the tasks fit beside the room that is held for others. Tasks that last have to run whatever waits: those that
+ * have run before take held room, since it was not there before either, and any other if there is room for two.
+ */
+function countFittingBesideHeld(account: Account, {step, waiting, restarts}: WaitingTasks): number {
+  const fitting = Math.min(waiting, countFitting(account, account.held, step.demand))
+  if (!step.lasting || fitting === waiting || isNothing(account.held)) return fitting
+  const room = countFitting(account, NO_RESOURCES, step.demand)
+  const left = waiting - fitting
+  const further = Math.max(restarts - fitting, Math.floor((room - fitting) / 2))
+  return fitting + Math.max(0, Math.min(left, further, room - fitting))
+}
+
 function createRoom(accounts: ReadonlyMap<string, Account>): WorkspaceRoom {
   function accountOf({workspace}: WaitingTasks): Account | undefined {
     return workspace === undefined ? undefined : accounts.get(workspace)
@@ -104,7 +122,7 @@
       const {limit, occupied, longRunning, held} = account
       const size = unitSize(tasks)
       if (isWithin(scale(step.demand, size), limit)) {
-        const fitting = Math.min(waiting, countFitting(account, step.demand))
+        const fitting = countFittingBesideHeld(account, tasks)
         return fitting < size ? 0 : fitting
       }
       const isAlone = isNothing(subtract(occupied, longRunning)) && isNothing(held)
--- a/src/planner/capacityreserver.ts
+++ b/src/planner/capacityreserver.ts
@@ -4,6 +4,8 @@
  * withheld while more than half of a service's processors are free.
  */
 import type {Milliseconds} from "../core/clock.js"
+import type {Resources} from "../core/resources.js"
+import {componentwiseMin} from "../core/resources.js"
 import {computeContention} from "../pipelines/contention.js"
 import type {RestrictedStep, Contention} from "../pipelines/contention.js"
 import {computeHeadroom, EMPTY_USAGE_HISTORY, recordUsage} from "../pipelines/headroom.js"
@@ -11,23 +13,29 @@
 import {isTooLate} from "../pipelines/order.js"
 import {NO_RESERVATIONS, reserve} from "../pipelines/reserving.js"
 import type {Reservations} from "../pipelines/reserving.js"
+import {requiredCapacity} from "../pipelines/placing.js"
 import {countTasksByWorker, findAllowedWorkers, freeCapacityOf, toWorkerOption} from "./candidates.js"
 import type {OpenStep, PassView} from "./opensteps.js"
 import {PLACING_WORK} from "./passbudget.js"
 import type {WorkBudget} from "./passbudget.js"
-import type {WorkerState} from "./state.js"
-import {requiredCapacity} from "./state.js"
+import type {StepRun, WorkerState} from "./state.js"
 import type {WorkerIndex} from "./workerindex.js"
 
 /** The capacity withheld during one pass. The pass updates it with each step that it handles. */
 export interface ReservedCapacity {
   reservations: Reservations
+  /** The least that a task needs for which capacity is reserved, by worker id. */
+  readonly smallestReserved: Map<string, Resources>
   /** Processors that are free now, by service. */
   readonly freeProcessors: Map<string, number>
   /** Processors that lower-priority work has to leave free for the most urgent queue, by service. */
   readonly headroomProcessors: Map<string, number>
   /** Priority of the most urgent queue, by service. */
   readonly urgentPriorities: ReadonlyMap<string, number>
+  /** All processors of usable workers, by service. */
+  readonly totalProcessors: ReadonlyMap<string, number>
+  /** By service. */
+  readonly headroomHolds: Map<string, HeadroomHold>
   /** Services with so many processors in use that capacity is withheld. */
   readonly busyServices: ReadonlySet<string>
   /** Number of steps for which capacity was reserved, by queue. */
@@ -39,16 +47,52 @@
 /** Capacity is withheld only while at least this share of a service's processors is in use. */
 const BUSY_SHARE = 0.5
 
+/** Processors of a service that a step waits for which has to leave the headroom free. */
+interface HeadroomHold {
+  readonly run: StepRun
+  readonly processors: number
+}
+
+/** The tasks that have to start together. */
+function countTogether({run}: OpenStep): number {
+  return run.step.gang ? run.waiting.size : 1
+}
+
+/** True if the step has to leave the headroom of the most urgent queue free. */
+function leavesHeadroom({run, queue}: OpenStep, reserved: ReservedCapacity): boolean {
+  const {service, priority} = queue
+  const {step} = run
+  if (!reserved.busyServices.has(service) || step.lasting || step.fills) return false
+  return priority > (reserved.urgentPriorities.get(service) ?? priority) && step.demand.processors > 0
+}
+
 /** How many of the startable tasks may start without using the headroom of the most urgent queue. */
 export function limitStarts(open: OpenStep, reserved: ReservedCapacity): number {
   const {run, queue, startable} = open
-  const {step} = run
-  const urgent = reserved.urgentPriorities.get(queue.service) ?? queue.priority
-  if (!reserved.busyServices.has(queue.service)) return startable
-  if (queue.priority <= urgent || step.lasting || step.fills || step.demand.processors === 0) return startable
-  const spare =
-    (reserved.freeProcessors.get(queue.service) ?? 0) - (reserved.headroomProcessors.get(queue.service) ?? 0)
-  return Math.min(startable, Math.max(0, Math.floor(spare / step.demand.processors)))
+  const {service} = queue
+  if (!leavesHeadroom(open, reserved)) return startable
+  const headroom = reserved.headroomProcessors.get(service) ?? 0
+  const {processors} = run.step.demand
+  // A gang that can never leave the headroom free would starve for it.
+  if (countTogether(open) * processors > (reserved.totalProcessors.get(service) ?? 0) - headroom)
+    return startable
+  const hold = reserved.headroomHolds.get(service)
+  const held = hold && hold.run !== run ? hold.processors : 0
+  const spare = (reserved.freeProcessors.get(service) ?? 0) - headroom - held
+  return Math.min(startable, Math.max(0, Math.floor(spare / processors)))
+}
+
+/**
+ * Keeps the processors that become free beside the headroom for a step that finds too few of them for its next task or its
+ * gang, so that smaller tasks which rank after it do not take them one by one. Once in a pass for each service, and not for
+ * a step that is too late anyway.
+ */
+export function holdForHeadroom(open: OpenStep, now: Milliseconds, reserved: ReservedCapacity): void {
+  const {run, queue, rank} = open
+  const together = countTogether(open)
+  if (reserved.headroomHolds.has(queue.service) || isTooLate(rank, now)) return
+  if (!leavesHeadroom(open, reserved) || limitStarts(open, reserved) >= together) return
+  reserved.headroomHolds.set(queue.service, {run, processors: together * run.step.demand.processors})
 }
 
 const NO_CONTENTION: Contention = new Map()
@@ -95,15 +139,16 @@
   const {run, queue, rank, startable} = open
   if (!reserved.busyServices.has(queue.service) || isTooLate(rank, now)) return
   if (run.step.fills || limitStarts(open, reserved) < startable) return
-  const before = reserved.reservingSteps.get(queue.name) ?? 0
-  if (before >= MAXIMUM_RESERVING_STEPS) return
-  reserved.reservingSteps.set(queue.name, before + 1)
+  const reservingSteps = reserved.reservingSteps.get(queue.name) ?? 0
+  if (reservingSteps >= MAXIMUM_RESERVING_STEPS) return
+  reserved.reservingSteps.set(queue.name, reservingSteps + 1)
   const allowed = findAllowedWorkers(open, workers)
   const held = countTasksByWorker(run)
   const wanted = run.step.gang ? startable : Math.min(MAXIMUM_RESERVED_TASKS, startable)
   budget.spend(workers.length + allowed.length * PLACING_WORK + (allowed.length * wanted) / 8)
+  const before = reserved.reservations
   reserved.reservations = reserve(
-    reserved.reservations,
+    before,
     run.step,
     wanted,
     allowed.map(worker => {
@@ -114,6 +159,10 @@
       }
     }),
   )
+  const {demand} = run.step
+  for (const [id, amount] of reserved.reservations)
+    if (amount !== before.get(id))
+      reserved.smallestReserved.set(id, componentwiseMin(demand, reserved.smallestReserved.get(id) ?? demand))
 }
 
 /** Processors used by the most urgent queue, by service. Long-running tasks are not counted. */
@@ -145,6 +194,23 @@
   return {freeProcessors, total}
 }
 
+/**
+ * Services with at least the busy share of their processors in use. Listed workers count even if they cannot be used now,
+ * since users see the whole service.
+ */
+function findBusyServices(workers: readonly WorkerState[]): ReadonlySet<string> {
+  const sums = new Map<string, {used: number; total: number}>()
+  for (const {listing, used, isListed} of workers) {
+    const sum = sums.get(listing.service) ?? {used: 0, total: 0}
+    sums.set(listing.service, sum)
+    sum.used += used.processors
+    if (isListed) sum.total += listing.capacity.processors
+  }
+  return new Set(
+    [...sums].filter(([, {used, total}]) => used >= total * BUSY_SHARE).map(([service]) => service),
+  )
+}
+
 export interface CapacityReserver {
   /** Computes what a pass has to withhold from its steps. */
   readonly compute: (
@@ -172,8 +238,9 @@
     const waitingUse = new Map<string, number>()
     for (const {run, queue, rank, startable} of steps) {
       if (queue.priority !== view.urgentPriorities.get(queue.service) || run.step.lasting) continue
-      // Headroom does not help a step that has waited this long, for example because it fits nowhere.
+      // Headroom helps neither a step that has waited too long nor one that fits nowhere, for which capacity is reserved.
       if (isTooLate(rank, view.now)) continue
+      if (!run.hasRoomSomewhere) continue
       const demanded = startable * run.step.demand.processors
       waitingUse.set(queue.service, (waitingUse.get(queue.service) ?? 0) + demanded)
     }
@@ -185,16 +252,16 @@
       histories.set(service, history)
       headroomProcessors.set(service, computeHeadroom(history, now, processors))
     }
-    const busyServices = new Set<string>()
-    for (const [service, processors] of total) {
-      if ((freeProcessors.get(service) ?? 0) <= processors * (1 - BUSY_SHARE)) busyServices.add(service)
-    }
+    const busyServices = findBusyServices(view.workers)
     const contention = computeContention(findConfinedSteps(steps, busyServices, index, budget))
     return {
       reservations: NO_RESERVATIONS,
+      smallestReserved: new Map(),
       freeProcessors,
       headroomProcessors,
       urgentPriorities: view.urgentPriorities,
+      totalProcessors: total,
+      headroomHolds: new Map(),
       busyServices,
       reservingSteps: new Map(),
       contention,
--- a/src/planner/nearwaits.ts
+++ b/src/planner/nearwaits.ts
@@ -13,21 +13,21 @@
 import {add, dominantShare, NO_RESOURCES, scale} from "../core/resources.js"
 import {criticalPathLength, LATE_FACTOR, latencyObjective} from "../pipelines/order.js"
 import {createRackDemand} from "../pipelines/rackdemand.js"
-import type {Crowd, ExpectedRelease, WaitPrices, WaitVerdict} from "../pipelines/waiting.js"
+import type {Crowd, WaitPrices, WaitVerdict} from "../pipelines/waiting.js"
 import {
   boundWait,
   crowdingOf,
   costOfSlowerPlace,
   expectOpenings,
-  expectRemaining,
   LONGEST_WAIT_MS,
   weighWait,
 } from "../pipelines/waiting.js"
+import {requiredCapacity} from "../pipelines/placing.js"
 import {countTasksByWorker} from "./candidates.js"
+import type {ExpectedEnds} from "./expectedends.js"
 import type {LearnedRuns} from "./learnedruns.js"
 import type {OpenStep} from "./opensteps.js"
-import type {Assignment, StepRun, WorkerState} from "./state.js"
-import {requiredCapacity} from "./state.js"
+import type {StepRun, WorkerState} from "./state.js"
 
 /** A rack on which the step runs faster, with the workers there that may run it. */
 export interface BetterRack {
@@ -104,7 +104,8 @@
   clock: Pick<Clock, "now">,
   log: Pick<Logger, "info">,
   remoteFactor: number,
-  {expectRunTime, expectRunTimeOn}: Pick<LearnedRuns, "expectRunTime" | "expectRunTimeOn">,
+  {expectRunTime}: Pick<LearnedRuns, "expectRunTime">,
+  ends: Pick<ExpectedEnds, "releasesOf">,
 ): NearWaits {
   const rackDemand = createRackDemand()
   const turns = new Map<StepRun, Turn>()
@@ -112,38 +113,6 @@
   /** By rack, of the pass under way and of the last one. */
   let claims = new Map<string, Claims>()
   let lastClaims = new Map<string, Claims>()
-  /** When the tasks on a worker should end, computed once in a pass. */
-  const releases = new Map<WorkerState, readonly ExpectedRelease[]>()
-
-  function expectEnd(assignment: Assignment, worker: WorkerState): Milliseconds {
-    const {run, phase, confirmedAt, assignedAt, progressPercent, hasEarlierWork} = assignment
-    if (run.step.lasting || phase === "starting") return Infinity
-    const startedAt = confirmedAt ?? assignedAt
-    const expected = expectRunTimeOn(run, worker)
-    if (hasEarlierWork) return expected === undefined ? Infinity : expected * (1 - progressPercent / 100)
-    return expectRemaining({
-      elapsed: clock.now() - startedAt,
-      progressPercent,
-      elapsedAtProgress: Math.max(0, (worker.clock?.localTime ?? startedAt) - startedAt),
-      expected,
-    })
-  }
-
-  function listReleases(worker: WorkerState): readonly ExpectedRelease[] {
-    let listed = releases.get(worker)
-    if (!listed) {
-      listed = [...worker.assignments.values()]
-        .map(assignment => ({
-          after: expectEnd(assignment, worker),
-          capacity: requiredCapacity(assignment.run.step),
-        }))
-        .filter(({after}) => after <= LONGEST_WAIT_MS)
-        .sort((one, other) => one.after - other.after)
-      releases.set(worker, listed)
-    }
-    return listed
-  }
-
   /** Work comes for a rack that holds the data of a step, but for no certain one if the tasks only have to be together. */
   function crowdOf({rack, workers}: BetterRack): Crowd {
     return {
@@ -168,7 +137,7 @@
       const places = workers.map(worker => ({
         free: freeOn(worker),
         limit: step.perWorker === 0 ? Infinity : step.perWorker - (held.get(worker) ?? 0),
-        releases: listReleases(worker),
+        releases: ends.releasesOf(worker),
       }))
       const wait = expectOpenings(demand, ahead + tasks, places, horizon)
       if (wait < shortest.wait) shortest = {better, wait, crowd}
@@ -290,7 +259,6 @@
       pass += 1
       lastClaims = claims
       claims = new Map()
-      releases.clear()
     },
     counts: () => ({
       waiting_for_rack: [...turns.values()].filter(({waitsSince}) => waitsSince !== undefined).length,
--- a/src/planner/opensteps.ts
+++ b/src/planner/opensteps.ts
@@ -47,9 +47,19 @@
   readonly startable: number
 }
 
+/** The number of waiting tasks that have run before under this leader, or before it as far as that is known. */
+export function countRestarts({step, waiting, latestAttempts}: StepRun): number {
+  if (step.gang) return latestAttempts.has(0) ? waiting.size : 0
+  let restarts = 0
+  for (const index of waiting) if (latestAttempts.has(index)) restarts += 1
+  return restarts
+}
+
 /** The step's waiting tasks, as the room of its workspace counts them. */
-export function waitingTasksOf({owner, step, waiting}: StepRun): WaitingTasks {
-  return {workspace: owner.job.workspace, step, waiting: waiting.size}
+export function waitingTasksOf(run: StepRun): WaitingTasks {
+  const {owner, step, waiting} = run
+  const restarts = step.lasting ? countRestarts(run) : 0
+  return {workspace: owner.job.workspace, step, waiting: waiting.size, restarts}
 }
 
 function isOpen(run: StepRun, view: PassView): boolean {
--- a/src/planner/planner.ts
+++ b/src/planner/planner.ts
@@ -28,6 +28,7 @@
 import {createLeaderLoad} from "./leaderload.js"
 import {createLeaderSupport} from "./leadersupport.js"
 import type {LeaderBacklog} from "./leaderload.js"
+import {createExpectedEnds} from "./expectedends.js"
 import {createHeartbeat} from "./heartbeat.js"
 import {createHoldLog} from "./holdlog.js"
 import {createLedger} from "./ledger.js"
@@ -175,8 +176,9 @@
   const heartbeat = createHeartbeat(clock, ledger, term)
   const leaderLoad = createLeaderLoad(clock, log, term)
   const learnedRuns = createLearnedRuns(clock, log, limits.remoteFactor)
-  const nearWaits = createNearWaits(clock, log, limits.remoteFactor, learnedRuns)
-  const planningPass = createPlanningPass(clock, nearWaits)
+  const expectedEnds = createExpectedEnds(clock, learnedRuns)
+  const nearWaits = createNearWaits(clock, log, limits.remoteFactor, learnedRuns, expectedEnds)
+  const planningPass = createPlanningPass(clock, nearWaits, expectedEnds)
   const support = createLeaderSupport(clock, log, confirmation)
   const barrier = createBarrier({
     clock,
--- a/src/planner/planningpass.ts
+++ b/src/planner/planningpass.ts
@@ -11,7 +11,7 @@
 import type {Queue} from "../pipelines/model.js"
 import type {WorkerOption} from "../pipelines/placing.js"
 import {relativeSpeed} from "../pipelines/workerspeeds.js"
-import {freeOutsideReservation} from "../pipelines/reserving.js"
+import {endsBeforeReserved, freeOutsideReservation, placeLastingTasks} from "../pipelines/reserving.js"
 import {
   countTasksByWorker,
   freeCapacityOf,
@@ -24,18 +24,20 @@
 import {createWorkspaceRoom} from "../pipelines/workspaceroom.js"
 import type {HoldReason, WorkspaceRoom} from "../pipelines/workspaceroom.js"
 import {isTooLate} from "../pipelines/order.js"
+import {requiredCapacity} from "../pipelines/placing.js"
+import {NO_EXPECTED_ENDS} from "./expectedends.js"
+import type {ExpectedEnds} from "./expectedends.js"
 import {NO_NEAR_WAITS} from "./nearwaits.js"
 import type {NearWaits} from "./nearwaits.js"
 import {placeOrWait} from "./placeorwait.js"
-import {listUpcomingSteps, listOpenSteps, waitingTasksOf} from "./opensteps.js"
+import {countRestarts, listUpcomingSteps, listOpenSteps, waitingTasksOf} from "./opensteps.js"
 import type {OpenStep, PassView} from "./opensteps.js"
 import {preempt} from "./preemption.js"
-import {createCapacityReserver, limitStarts, reserveForStep} from "./capacityreserver.js"
+import {createCapacityReserver, holdForHeadroom, limitStarts, reserveForStep} from "./capacityreserver.js"
 import type {ReservedCapacity} from "./capacityreserver.js"
 import {createWorkBudget, PLACING_WORK, START_WORK} from "./passbudget.js"
 import type {WorkBudget} from "./passbudget.js"
 import type {Assignment, StepRun, WorkerState} from "./state.js"
-import {requiredCapacity} from "./state.js"
 import {shareSteps} from "./stepsharing.js"
 import type {ExceededShare} from "./stepsharing.js"
 import {createStepTurns} from "./stepturns.js"
@@ -71,6 +73,7 @@
   readonly reserved: ReservedCapacity
   readonly budget: WorkBudget
   readonly waits: NearWaits
+  readonly ends: ExpectedEnds
   /** Searches for tasks to preempt, by queue. */
   readonly searches: Map<string, number>
   /** What workspaces may still start. */
@@ -119,16 +122,66 @@
  * reserved, are tasks preempted and is advice requested: a workspace whose steps wait for more than its limit admits
  * takes no more of them than it can use.
  */
-function claimRoom({run}: OpenStep, wanted: number, {claimableRoom}: PassState): number {
+function claimRoom({run}: OpenStep, wanted: number, {room, claimableRoom}: PassState): number {
   const tasks = waitingTasksOf(run)
+  // A task that lasts is started whatever waits before it.
+  if (run.step.lasting) return Math.min(wanted, room.countStartable(tasks))
   const claimed = Math.min(wanted, claimableRoom.countStartable(tasks))
   if (claimed > 0) claimableRoom.occupy(tasks, claimed)
   return claimed
 }
 
+/** Chooses workers for tasks of the step, on capacity that is not withheld from it. */
+function chooseWorkers(
+  open: OpenStep,
+  wanted: number,
+  ready: readonly WorkerState[],
+  group: WorkerGroup,
+  {index, reserved, budget, waits, ends}: PassState,
+): readonly string[] {
+  const {run, queue} = open
+  const {step} = run
+  const withholds = reserved.busyServices.has(queue.service)
+  const held = countTasksByWorker(run)
+
+  /** With all that is free, reserved or not. */
+  function toOption(worker: WorkerState): WorkerOption {
+    const option = toWorkerOption(
+      worker,
+      held.get(worker) ?? 0,
+      index.occupancyOf(worker),
+      reserved.contention,
+    )
+    const pressure = step.preferredRack === option.rack ? 0 : waits.pressureOn(option.rack)
+    return {...option, contention: option.contention + pressure}
+  }
+
+  function toUnreservedOption(worker: WorkerState): WorkerOption {
+    const option = toOption(worker)
+    const reservation = reserved.reservations.get(option.id)
+    if (!withholds || !reservation) return option
+    const runTime = ends.runTimeOn(run, worker)
+    const smallest = reserved.smallestReserved.get(option.id) ?? reservation
+    const isBackfill =
+      runTime !== undefined &&
+      endsBeforeReserved(runTime, option.free, smallest, ends.earliestReleasesOf(worker))
+    return isBackfill ? option : {...option, free: freeOutsideReservation(option, reservation)}
+  }
+
+  if (withholds && step.lasting) {
+    const places = ready.map(worker => ({
+      option: toOption(worker),
+      reserved: reserved.reservations.get(worker.listing.id),
+      withoutEnding: index.occupancyOf(worker).capacityWithoutLongRunning,
+    }))
+    return placeLastingTasks(step, wanted, countRestarts(run), places)
+  }
+  return placeOrWait(open, wanted, ready.map(toUnreservedOption), group, toUnreservedOption, waits, budget)
+}
+
 /** Starts those tasks of a step that can be placed now. */
 function placeStep(open: OpenStep, group: WorkerGroup, state: PassState): void {
-  const {view, actions, index, reserved, budget, waits} = state
+  const {view, actions, index, reserved, budget, waits, ends} = state
   const {run, queue} = open
   const {step} = run
   const [usual] = group.workers
@@ -139,41 +192,27 @@
   const allowedStarts = limitStarts(open, reserved)
   if (allowedStarts === 0 || (step.gang && allowedStarts < run.waiting.size)) return
   const withholds = reserved.busyServices.has(queue.service)
-  if (group.unmet.covers(required) || (withholds && group.unmetOutsideReservations.covers(required))) return
+  if (group.unmet.covers(required)) {
+    run.hasRoomSomewhere = false
+    return
+  }
+  const runTime = usual ? ends.runTimeOn(run, usual) : undefined
+  if (withholds && !step.lasting && group.unmetOutsideReservations.covers(required, runTime)) return
   budget.spend(group.workers.length)
   const fitting = group.workers.filter(worker => hasRoomFor(required, worker))
+  run.hasRoomSomewhere = fitting.some(({listing}) => run.policyVerdicts.get(listing.id) !== false)
   if (fitting.length === 0) group.unmet.add(required)
   const ready = queue.advice ? fitting.filter(worker => hasTicket(run, worker, view.now)) : fitting
   if (ready.length === 0) return
   budget.spend(ready.length * PLACING_WORK)
   const affordableStarts = Math.max(1, Math.floor(budget.left() / (START_WORK + ready.length / 8)))
-  const held = countTasksByWorker(run)
-  function toOption(worker: WorkerState): WorkerOption {
-    const option = toWorkerOption(
-      worker,
-      held.get(worker) ?? 0,
-      index.occupancyOf(worker),
-      reserved.contention,
-    )
-    const {rack} = option
-    const pressure = step.preferredRack === rack ? 0 : waits.pressureOn(rack)
-    const contention = option.contention + pressure
-    return withholds
-      ? {
-          ...option,
-          contention,
-          free: freeOutsideReservation(option, reserved.reservations.get(option.id)),
-        }
-      : {...option, contention}
-  }
-  const options = ready.map(toOption)
   const wanted = step.gang ? allowedStarts : Math.min(allowedStarts, affordableStarts)
-  const chosen = placeOrWait(open, wanted, options, group, toOption, waits, budget)
+  const chosen = chooseWorkers(open, wanted, ready, group, state)
   if (chosen.length === 0) {
     // Others may start where a step that waits would not.
     if (waits.isWaiting(run)) return
-    if (withholds && !queue.advice && !step.gang && step.perWorker === 0)
-      group.unmetOutsideReservations.add(required)
+    if (withholds && !queue.advice && !step.gang && !step.lasting && step.perWorker === 0)
+      group.unmetOutsideReservations.add(required, runTime)
     return
   }
   budget.spend(chosen.length * (START_WORK + ready.length / 8))
@@ -262,6 +301,7 @@
 export function createPlanningPass(
   clock: Pick<Clock, "now">,
   waits: NearWaits = NO_NEAR_WAITS,
+  ends: ExpectedEnds = NO_EXPECTED_ENDS,
 ): PlanningPass {
   const reserver = createCapacityReserver()
   const turns = createStepTurns()
@@ -287,6 +327,7 @@
         reserved,
         budget,
         waits,
+        ends,
         searches: new Map(),
         room,
         claimableRoom: room.copy(),
@@ -311,6 +352,7 @@
         if (claimed === 0) return
         const waiting = {...open, startable: claimed}
         if (isUrgent && !waits.isWaiting(run)) {
+          holdForHeadroom(waiting, view.now, reserved)
           reserveForStep(waiting, group.workers, view.now, reserved, index, budget)
           preempt(waiting, group.workers, view, reserved, index, budget, state.searches, actions.preempt)
         }
@@ -339,6 +381,7 @@
         }
       }
       waits.endPass()
+      ends.endPass()
       const {heldSteps} = state
       return {
         heldSteps,
--- a/src/planner/state.ts
+++ b/src/planner/state.ts
@@ -9,6 +9,7 @@
 import {estimateMemory, maxOpenOccurrences} from "../pipelines/footprint.js"
 import type {PipelineJob, Step, TaskName, WorkerListing} from "../pipelines/model.js"
 import {formatTask} from "../pipelines/model.js"
+import {requiredCapacity} from "../pipelines/placing.js"
 import type {Progress} from "../pipelines/progress.js"
 import {TYPICAL_SPEED} from "../pipelines/workerspeeds.js"
 import type {LearnedSpeed} from "../pipelines/workerspeeds.js"
@@ -45,6 +46,8 @@
   isAwaitingAdvice: boolean
   /** The limit of the workspace let no task of the step start when the step was last handled. */
   isHeldByLimit: boolean
+  /** Some worker on which the step may be allowed had room for a task when the step was last handled. */
+  hasRoomSomewhere: boolean
   /** No task of the step is started before this instant, after a failure. */
   retryAt: Milliseconds
   /** No tasks are preempted for this step before this instant. */
@@ -158,11 +161,6 @@
   return {job: run.owner.job.id, occurrence: run.occurrence, step: run.stepIndex, index}
 }
 
-/** The capacity that a task occupies on a worker. The processors of a best-effort task are not counted. */
-export function requiredCapacity(step: Step): Resources {
-  return step.fills ? {...step.demand, processors: 0} : step.demand
-}
-
 export function createWorker(listing: WorkerListing, isListed: boolean, now: Milliseconds): WorkerState {
   return {
     listing,
@@ -206,6 +204,7 @@
     comparedEnds: [],
     isAwaitingAdvice: false,
     isHeldByLimit: false,
+    hasRoomSomewhere: false,
     retryAt: 0,
     preemptAt: 0,
     preemptionCount: 0,
--- a/src/planner/stepsharing.ts
+++ b/src/planner/stepsharing.ts
@@ -19,10 +19,10 @@
 import type {Queue} from "../pipelines/model.js"
 import {compareWaitingSteps} from "../pipelines/order.js"
 import type {WorkspaceUse} from "../pipelines/workspaceroom.js"
+import {requiredCapacity} from "../pipelines/placing.js"
 import {freeCapacityOf} from "./candidates.js"
 import type {OpenStep, PassView} from "./opensteps.js"
 import type {StepRun, WorkerState} from "./state.js"
-import {requiredCapacity} from "./state.js"
 
 /** A workspace that wants far more than its share of what the steps up to a priority may have of a service. */
 export interface ExceededShare {
--- a/src/planner/workerindex.ts
+++ b/src/planner/workerindex.ts
@@ -3,10 +3,11 @@
  * may run, and what occupies each worker. Free capacity only shrinks during a pass. A demand that no worker of a group
  * has the capacity for therefore rules out every demand that is at least as large, for the rest of the pass.
  */
+import type {Milliseconds} from "../core/clock.js"
 import type {Resources} from "../core/resources.js"
 import {fits, subtract} from "../core/resources.js"
+import {requiredCapacity} from "../pipelines/placing.js"
 import type {Assignment, StepRun, WorkerState} from "./state.js"
-import {requiredCapacity} from "./state.js"
 
 /** What the tasks on a worker mean for further tasks. */
 export interface Occupancy {
@@ -20,11 +21,11 @@
   readonly checkpointing: readonly Assignment[]
 }
 
-/** Demands that were found not to fit. */
+/** Demands that were found not to fit. A shorter task may fit where a longer one does not. */
 export interface UnmetDemands {
-  readonly add: (demand: Resources) => void
-  /** True when the demand is at least as large as one that did not fit. */
-  readonly covers: (demand: Resources) => boolean
+  readonly add: (demand: Resources, runTime?: Milliseconds) => void
+  /** True when the demand is at least as large as one that did not fit, for tasks that run no shorter. */
+  readonly covers: (demand: Resources, runTime?: Milliseconds) => boolean
 }
 
 /** The workers on which steps of a service with a certain label may run. */
@@ -32,7 +33,7 @@
   readonly workers: readonly WorkerState[]
   /** Demands for which no worker has the free capacity. */
   readonly unmet: UnmetDemands
-  /** Demands for which no worker has free capacity that is not reserved. */
+  /** Demands for which no worker has free capacity that is not reserved, or not needed before the tasks end. */
   readonly unmetOutsideReservations: UnmetDemands
 }
 
@@ -44,10 +45,11 @@
 }
 
 function createUnmetDemands(): UnmetDemands {
-  const smallest: Resources[] = []
+  const smallest: {readonly demand: Resources; readonly runTime: Milliseconds}[] = []
   return {
-    add: demand => void smallest.push(demand),
-    covers: demand => smallest.some(unmet => fits(unmet, demand)),
+    add: (demand, runTime = 0) => void smallest.push({demand, runTime}),
+    covers: (demand, runTime = Infinity) =>
+      smallest.some(unmet => unmet.runTime <= runTime && fits(unmet.demand, demand)),
   }
 }
 
--- a/src/planner/workspaceuse.ts
+++ b/src/planner/workspaceuse.ts
@@ -5,7 +5,7 @@
  * inherited job that may run there, within the capacity of the workers that have not listed what they run.
  */
 import type {Resources} from "../core/resources.js"
-import {add, dominantShare, NO_RESOURCES, scale} from "../core/resources.js"
+import {add, componentwiseMin, dominantShare, NO_RESOURCES, scale} from "../core/resources.js"
 import type {FleetConfiguration, Workspace} from "../pipelines/model.js"
 import type {WorkspaceUse} from "../pipelines/workspaceroom.js"
 import type {ActiveJob} from "./state.js"
@@ -64,14 +64,6 @@
   return stepRuns.some(({step}) => step.fills)
 }
 
-function componentwiseMin(one: Resources, other: Resources): Resources {
-  return {
-    processors: Math.min(one.processors, other.processors),
-    memoryMebibytes: Math.min(one.memoryMebibytes, other.memoryMebibytes),
-    accelerators: Math.min(one.accelerators, other.accelerators),
-  }
-}
-
 /** Sums what each workspace occupies. Jobs without a workspace are left out. */
 function sumByWorkspace(sources: OccupancySources): ReadonlyMap<string, Sums> {
   const byWorkspace = new Map<string, Sums>()
--- a/test/support/passplay.ts
+++ b/test/support/passplay.ts
@@ -3,22 +3,27 @@
  * store, no network and no second leader: only what the passes decide, and when the jobs of the callers end.
  */
 import type {Milliseconds} from "../../src/core/clock.js"
+import type {Resources} from "../../src/core/resources.js"
+import {add, NO_RESOURCES} from "../../src/core/resources.js"
 import type {Queue, Step} from "../../src/pipelines/model.js"
 import {applyProgress, NO_PROGRESS} from "../../src/pipelines/progress.js"
+import {createExpectedEnds} from "../../src/planner/expectedends.js"
 import {createLearnedRuns} from "../../src/planner/learnedruns.js"
 import {createNearWaits, NO_NEAR_WAITS} from "../../src/planner/nearwaits.js"
+import type {WorkspaceUse} from "../../src/pipelines/workspaceroom.js"
 import type {PassActions} from "../../src/planner/planningpass.js"
 import {createPlanningPass} from "../../src/planner/planningpass.js"
-import type {ActiveJob, Assignment, WorkerState} from "../../src/planner/state.js"
+import type {ActiveJob, Assignment, StepRun, WorkerState} from "../../src/planner/state.js"
 import {assign, createActiveJob, createWorker, release, toTaskName} from "../../src/planner/state.js"
 import {jobOf, listingOf, QUEUE} from "./fleet.js"
 
 export interface PlayedJob {
   readonly at: Milliseconds
   readonly steps: readonly Partial<Step>[]
-  /** Run time of each task near its data. */
-  readonly runTime: Milliseconds
+  /** Run time of each task near its data. A task that lasts fails after it; by default it goes on. */
+  readonly runTime?: Milliseconds
   readonly queue?: Queue
+  readonly workspace?: string
 }
 
 export interface PassPlay {
@@ -34,6 +39,12 @@
   readonly learns?: boolean
   /** Whether workers report how far tasks are; they do every 400 ms. */
   readonly showsProgress?: boolean
+  /** When the play ends; by default as soon as all jobs have ended. */
+  readonly until?: Milliseconds
+  /** The priority of the most urgent queue; that of the usual queue by default. */
+  readonly urgentPriority?: number
+  /** The limits of workspaces. */
+  readonly limits?: Readonly<Record<string, Resources>>
   /** Called before the pass at each instant. */
   readonly before?: (now: Milliseconds, workers: WorkerState[]) => void
 }
@@ -43,6 +54,8 @@
   readonly times: readonly Milliseconds[]
   /** For each job, the longest time until a task of it started. */
   readonly startDelays: readonly Milliseconds[]
+  /** For each job, the longest time for which a task of it waited, after its arrival or after it had failed. */
+  readonly waits: readonly Milliseconds[]
   /** For each job, the racks on which its tasks started. */
   readonly racks: readonly ReadonlySet<string>[]
   /** What was logged about waits, in order. */
@@ -69,8 +82,9 @@
   const lines: Record<string, unknown>[] = []
   const log = {info: (fields: object) => void lines.push({at: now, ...fields})}
   const learned = createLearnedRuns(clock, log, play.remoteFactor)
-  const waits = play.waits ? createNearWaits(clock, log, play.remoteFactor, learned) : NO_NEAR_WAITS
-  const pass = createPlanningPass(clock, waits)
+  const ends = createExpectedEnds(clock, learned)
+  const waits = play.waits ? createNearWaits(clock, log, play.remoteFactor, learned, ends) : NO_NEAR_WAITS
+  const pass = createPlanningPass(clock, waits, ends)
   const workers = Object.entries(play.racks).flatMap(([rack, count]) =>
     Array.from({length: count}, (_, index) => usableWorker(`${rack}-${index}`, rack)),
   )
@@ -78,6 +92,8 @@
   const plans = new Map<ActiveJob, number>()
   const times: Milliseconds[] = []
   const startDelays: Milliseconds[] = []
+  const waitingSince = new Map<StepRun, Map<number, Milliseconds>>()
+  const longestWaits: Milliseconds[] = []
   const racks: Set<string>[] = []
 
   const actions: PassActions = {
@@ -89,6 +105,7 @@
         assignment.confirmedAt = now
         assignment.phase = "running"
         startDelays[number] = now - run.owner.arrivedAt
+        recordWait(run, index)
         racks[number]?.add(worker.listing.rack)
       }
     },
@@ -96,9 +113,15 @@
     preempt: () => undefined,
   }
 
+  function recordWait(run: StepRun, index: number): void {
+    const number = plans.get(run.owner) ?? 0
+    const since = waitingSince.get(run)?.get(index) ?? run.owner.arrivedAt
+    longestWaits[number] = Math.max(longestWaits[number] ?? 0, now - since)
+  }
+
   function durationOf({run, worker}: Assignment): Milliseconds {
     const {step, owner} = run
-    const runTime = play.jobs[plans.get(owner) ?? 0]?.runTime ?? 0
+    const runTime = play.jobs[plans.get(owner) ?? 0]?.runTime ?? Infinity
     const isApart =
       step.preferredRack === ""
         ? step.sameRack && new Set([...run.assignments].map(other => other.worker.listing.rack)).size > 1
@@ -110,6 +133,11 @@
     for (const assignment of [...worker.assignments.values()]) {
       const {run, index, assignedAt} = assignment
       if (now - assignedAt < durationOf(assignment)) continue
+      if (run.step.lasting) {
+        release(assignment)
+        waitingSince.set(run, (waitingSince.get(run) ?? new Map<number, Milliseconds>()).set(index, now))
+        continue
+      }
       if (play.learns ?? true) learned.recordDone(assignment)
       run.owner.progress = applyProgress(run.owner.job, run.owner.progress, {
         type: "task-done",
@@ -128,9 +156,23 @@
       assignment.progressPercent = Math.floor(((now - assignment.assignedAt) * 100) / durationOf(assignment))
   }
 
+  function useOfWorkspaces(): ReadonlyMap<string, WorkspaceUse> {
+    const uses = new Map<string, WorkspaceUse>()
+    for (const [name, limit] of Object.entries(play.limits ?? {})) {
+      let [occupied, longRunning] = [NO_RESOURCES, NO_RESOURCES]
+      for (const {run} of workers.flatMap(worker => [...worker.assignments.values()])) {
+        if (run.owner.job.workspace !== name) continue
+        occupied = add(occupied, run.step.demand)
+        if (run.step.lasting) longRunning = add(longRunning, run.step.demand)
+      }
+      uses.set(name, {weight: 1, limit, occupied, longRunning})
+    }
+    return uses
+  }
+
   let arrived = 0
   const arrivals = [...play.jobs.entries()].sort(([, one], [, other]) => one.at - other.at)
-  while (arrived < arrivals.length || active.length > 0) {
+  while (play.until === undefined ? arrived < arrivals.length || active.length > 0 : now < play.until) {
     if (now > END_MS) throw new RangeError("The play did not end.")
     for (const worker of workers) {
       endTasks(worker)
@@ -141,7 +183,7 @@
       const [number, job] = arrivals[arrived] ?? []
       if (number === undefined || !job || job.at > now) break
       const owner = createActiveJob(
-        {...jobOf(number + 1, job.steps), queue: job.queue ?? QUEUE},
+        {...jobOf(number + 1, job.steps), queue: job.queue ?? QUEUE, workspace: job.workspace},
         NO_PROGRESS,
         now,
         false,
@@ -159,14 +201,16 @@
         workLimit: 400_000,
         queueOf: ({job}) => job.queue,
         mayStart: () => true,
-        workspaceUses: new Map(),
+        workspaceUses: useOfWorkspaces(),
         awaitsListing: () => false,
-        urgentPriorities: new Map([[QUEUE.service, QUEUE.priority]]),
+        urgentPriorities: new Map([[QUEUE.service, play.urgentPriority ?? QUEUE.priority]]),
         idleRequesters: 0,
       },
       actions,
     )
     now += STEP_MS
   }
-  return {times, startDelays, racks, lines}
+  for (const {stepRuns} of active)
+    for (const run of stepRuns) for (const index of run.waiting) recordWait(run, index)
+  return {times, startDelays, waits: longestWaits, racks, lines}
 }
--- a/test/unit/workspaces.test.ts
+++ b/test/unit/workspaces.test.ts
@@ -23,7 +23,7 @@
 }
 
 function tasks(waiting: number, demand: Resources, rest: Partial<Step> = {}): WaitingTasks {
-  return {workspace: "north", step: {demand, gang: false, lasting: false, ...rest}, waiting}
+  return {workspace: "north", step: {demand, gang: false, lasting: false, ...rest}, waiting, restarts: 0}
 }
 
 function roomOf(one: WorkspaceUse): ReturnType<typeof createWorkspaceRoom> {
@@ -199,6 +199,16 @@
   t.deepEqual([free.asked, free.preempting], [["north"], ["north"]])
 })
 
+test("a lasting task asks for advice although a step before it has claimed the room of its workspace", t => {
+  const workers = usableWorkers(2)
+  const running = jobIn("south", 1, {count: 2, demand: resources(5)}, {...QUEUE, priority: 2})
+  running.stepRuns.forEach(run => workers.forEach((worker, index) => assign(run, index, 1, worker, 0)))
+  const large = jobIn("north", 2, {demand: resources(6)}, URGENT)
+  const lasting = jobIn("north", 3, {lasting: true, demand: resources(2)}, {...ADVISED, priority: 1})
+  const {asked} = runPass([running, large, lasting], workers, new Map([["north", use(resources(7))]]))
+  t.deepEqual(asked, ["north"])
+})
+
 test("a workspace at its limit withholds no capacity from others", t => {
   const startsWith = (limit: number): number => {
     const workers = usableWorkers(4)
