A lasting task that fails as soon as it starts stays down for a moment

What users see: tasks that last have no limit of attempts, and were started again 7 ms after each end. One that fails 20 ms after its start, by a fault of its own, was started 541 times in 20 s on (the new test); a wide step of them would leave the leader no time for other work.

Change (src/pipelines/restarts.ts): a lasting task is started again 100 ms after it has ended by itself, and 200 ms to 1.6 s after runs in a row that were shorter than a second, within the 3 s in which users expect it back. Other ends (a lapsed lease, a lost worker, a stop) wait for nothing.

Tests: 'a lasting task that fails as soon as it starts ...' (541 starts before).

--- a/src/planner/reports.ts
+++ b/src/planner/reports.ts
@@ -7,6 +7,7 @@
 import type {TaskName} from "../pipelines/model.js"
 import {parseTask} from "../pipelines/model.js"
 import {isDone} from "../pipelines/progress.js"
+import {countShortRuns, pauseBeforeRestart} from "../pipelines/restarts.js"
 import {TYPICAL_SPEED} from "../pipelines/workerspeeds.js"
 import type {EndedTask, RunningTask, WorkerReport} from "../pipelines/ports.js"
 import type {Confirmation} from "./confirmation.js"
@@ -160,6 +161,15 @@
     worker.successWeight = worker.successWeight * END_WEIGHT_DECAY + (ended.end === "done" ? 1 : 0)
   }
 
+  /** Lets a task that lasts and has ended by itself stay down for a moment. */
+  function pauseRestart({run, index, assignedAt}: Assignment): void {
+    const shortRuns = countShortRuns(run.shortRuns.get(index) ?? 0, clock.now() - assignedAt)
+    run.shortRuns.set(index, shortRuns)
+    const pause = pauseBeforeRestart(shortRuns)
+    run.retryAt = Math.max(run.retryAt, clock.now() + pause)
+    clock.after(pause, onChange)
+  }
+
   function handleEnd(worker: WorkerState, ended: EndedTask): Promise<void> | undefined {
     const name = parseTask(ended.task)
     const run = name && findActiveStepRun(name)
@@ -173,6 +183,8 @@
     )
     updateFailureRate(worker, ended)
     if (ended.end === "done" && assignment) context.onDone(assignment)
+    if (run.step.lasting && assignment && (ended.end === "done" || ended.end === "failed"))
+      pauseRestart(assignment)
     if (ended.checkpoint !== "") run.checkpoints.set(run.step.gang ? 0 : name.index, ended.checkpoint)
     const counter = run.step.gang ? 0 : name.index
     run.latestAttempts.set(counter, Math.max(ended.attempt, run.latestAttempts.get(counter) ?? 0))
--- a/src/planner/state.ts
+++ b/src/planner/state.ts
@@ -50,6 +50,8 @@
   hasRoomSomewhere: boolean
   /** No task of the step is started before this instant, after a failure. */
   retryAt: Milliseconds
+  /** For a step that lasts, the number of runs in a row that ended soon after their start, by task index. */
+  readonly shortRuns: Map<number, number>
   /** No tasks are preempted for this step before this instant. */
   preemptAt: Milliseconds
   /** Number of tasks of this step that were preempted for other steps. */
@@ -206,6 +208,7 @@
     isHeldByLimit: false,
     hasRoomSomewhere: false,
     retryAt: 0,
+    shortRuns: new Map(),
     preemptAt: 0,
     preemptionCount: 0,
   }
--- a/test/guards/guards.ts
+++ b/test/guards/guards.ts
@@ -1415,4 +1415,20 @@
     test: "unit/workspaces.test.js",
     match: "a lasting task asks for advice*",
   },
+  {
+    name: "a lasting task that fails at its start stays down for a moment",
+    file: "planner/reports.js",
+    find: "run.retryAt = Math.max(run.retryAt, clock.now() + pause);",
+    replace: "",
+    test: LASTING,
+    match: "a lasting task that fails as soon*",
+  },
+  {
+    name: "a lasting task that had run for a while is back at once",
+    file: "pipelines/restarts.js",
+    find: "ranFor < SHORT_RUN_MS ? before + 1 : 0",
+    replace: "before + 1",
+    test: LASTING,
+    match: "a lasting task that fails as soon*",
+  },
 ]
