Headroom counts an urgent step until a pass has handled it

A new urgent step counted in the headroom only from its second pass on, so that less urgent tasks of the same pass could take the room for which it waited for advice. It counts at once now, and is remembered as peak use only once a pass has found that a worker has room for it. Expected ends are listed once in a pass for each worker, and a leader that the store has just confirmed does not look through its supporters.

--- a/src/planner/capacityreserver.ts
+++ b/src/planner/capacityreserver.ts
@@ -236,13 +236,15 @@
     const {freeProcessors, total} = sumProcessors(pool)
     const use = sumUrgentUse(view, view.urgentPriorities)
     const waitingUse = new Map<string, number>()
+    /** That of steps which no pass has handled yet, so that they may turn out to fit nowhere. */
+    const newUse = new Map<string, number>()
     for (const {run, queue, rank, startable} of steps) {
       if (queue.priority !== view.urgentPriorities.get(queue.service) || run.step.lasting) continue
       // Headroom helps neither a step that has waited too long nor one that fits nowhere, for which capacity is reserved.
-      if (isTooLate(rank, view.now)) continue
-      if (!run.hasRoomSomewhere) continue
+      if (isTooLate(rank, view.now) || run.hasRoomSomewhere === false) continue
       const demanded = startable * run.step.demand.processors
-      waitingUse.set(queue.service, (waitingUse.get(queue.service) ?? 0) + demanded)
+      const sums = run.hasRoomSomewhere ? waitingUse : newUse
+      sums.set(queue.service, (sums.get(queue.service) ?? 0) + demanded)
     }
     const headroomProcessors = new Map<string, number>()
     for (const [service, processors] of total) {
@@ -250,7 +252,8 @@
       const demanded = now + (waitingUse.get(service) ?? 0)
       const history = recordUsage(histories.get(service) ?? EMPTY_USAGE_HISTORY, view.now, demanded)
       histories.set(service, history)
-      headroomProcessors.set(service, computeHeadroom(history, now, processors))
+      const withNew = recordUsage(history, view.now, demanded + (newUse.get(service) ?? 0))
+      headroomProcessors.set(service, computeHeadroom(withNew, now, processors))
     }
     const busyServices = findBusyServices(view.workers)
     const contention = computeContention(findConfinedSteps(steps, busyServices, index, budget))
--- a/src/planner/expectedends.ts
+++ b/src/planner/expectedends.ts
@@ -33,6 +33,7 @@
   {expectRunTimeOn}: Pick<LearnedRuns, "expectRunTimeOn">,
 ): ExpectedEnds {
   const releases = new Map<WorkerState, readonly ExpectedRelease[]>()
+  const earliestReleases = new Map<WorkerState, readonly ExpectedRelease[]>()
 
   /** Infinite if nothing tells. */
   function expectEnd(assignment: Assignment, worker: WorkerState): Milliseconds {
@@ -49,32 +50,37 @@
     })
   }
 
+  function expectEarliestEnd(assignment: Assignment, worker: WorkerState): Milliseconds {
+    if (assignment.run.step.lasting) return Infinity
+    const after = expectEnd(assignment, worker)
+    return assignment.phase !== "running" || after === Infinity ? 0 : after
+  }
+
   function listReleases(
+    listed: Map<WorkerState, readonly ExpectedRelease[]>,
     worker: WorkerState,
-    expect: (assignment: Assignment) => Milliseconds,
+    expect: (assignment: Assignment, worker: WorkerState) => Milliseconds,
   ): readonly ExpectedRelease[] {
-    return [...worker.assignments.values()]
-      .map(assignment => ({after: expect(assignment), capacity: requiredCapacity(assignment.run.step)}))
+    const known = listed.get(worker)
+    if (known) return known
+    const found = [...worker.assignments.values()]
+      .map(assignment => ({
+        after: expect(assignment, worker),
+        capacity: requiredCapacity(assignment.run.step),
+      }))
       .filter(({after}) => after !== Infinity)
       .sort((one, other) => one.after - other.after)
+    listed.set(worker, found)
+    return found
   }
 
   return {
-    releasesOf(worker) {
-      let listed = releases.get(worker)
-      if (!listed) {
-        listed = listReleases(worker, assignment => expectEnd(assignment, worker))
-        releases.set(worker, listed)
-      }
-      return listed
-    },
-    earliestReleasesOf: worker =>
-      listReleases(worker, assignment => {
-        if (assignment.run.step.lasting) return Infinity
-        const after = expectEnd(assignment, worker)
-        return assignment.phase !== "running" || after === Infinity ? 0 : after
-      }),
+    releasesOf: worker => listReleases(releases, worker, expectEnd),
+    earliestReleasesOf: worker => listReleases(earliestReleases, worker, expectEarliestEnd),
     runTimeOn: expectRunTimeOn,
-    endPass: () => releases.clear(),
+    endPass() {
+      releases.clear()
+      earliestReleases.clear()
+    },
   }
 }
--- a/src/planner/leadersupport.ts
+++ b/src/planner/leadersupport.ts
@@ -88,9 +88,11 @@
     mayAct,
     check() {
       logChange()
+      const unconfirmed = unconfirmedFor()
+      if (unconfirmed <= UNSUPPORTED_LIMIT_MS * CONFIRMATION_SHARE) return
       // Other calls are too rare for a leader that nobody supports when it has little to do.
       const limit = isSupported() ? SUPPORTED_LIMIT_MS : UNSUPPORTED_LIMIT_MS
-      if (unconfirmedFor() > limit * CONFIRMATION_SHARE) confirmation.request()
+      if (unconfirmed > limit * CONFIRMATION_SHARE) confirmation.request()
     },
     needsRecording: () => (instances.namesToRecord() ?? workers.namesToRecord()) !== undefined,
     beginRecording() {
--- a/src/planner/state.ts
+++ b/src/planner/state.ts
@@ -46,8 +46,11 @@
   isAwaitingAdvice: boolean
   /** The limit of the workspace let no task of the step start when the step was last handled. */
   isHeldByLimit: boolean
-  /** Some worker on which the step may be allowed had room for a task when the step was last handled. */
-  hasRoomSomewhere: boolean
+  /**
+   * Whether some worker on which the step may be allowed had room for a task when the step was last handled. Undefined
+   * before that.
+   */
+  hasRoomSomewhere: boolean | undefined
   /** No task of the step is started before this instant, after a failure. */
   retryAt: Milliseconds
   /** For a step that lasts, the number of runs in a row that ended soon after their start, by task index. */
@@ -206,7 +209,7 @@
     comparedEnds: [],
     isAwaitingAdvice: false,
     isHeldByLimit: false,
-    hasRoomSomewhere: false,
+    hasRoomSomewhere: undefined,
     retryAt: 0,
     shortRuns: new Map(),
     preemptAt: 0,
--- a/test/guards/guards.ts
+++ b/test/guards/guards.ts
@@ -352,7 +352,7 @@
   {
     name: "a leader without followers asks the store whether it still leads",
     file: "planner/leadersupport.js",
-    find: "if (unconfirmedFor() > limit * CONFIRMATION_SHARE)",
+    find: "if (unconfirmed > limit * CONFIRMATION_SHARE)",
     replace: "if (false)",
     test: FLEET_FAILURES,
     match: "a leader without followers and work*",
